--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,920 @@
+// Package logic holds every decision of a quilldoor router. New starts an
+// instance from its settings and seed; Handle takes one event with the clock
+// (whole microseconds) and appends the actions it decides on, in order. The
+// module does no I/O, reads no clock and starts no goroutine. Its interface
+// stands in types.go; docs/design.md tells what follows the paper.
+package logic
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	ms  = int64(1000)
+	sec = 1000 * ms
+)
+
+// ---- The paper's sketch ----
+
+// sketchWidth counters in each of four rows. A halving period sees about a
+// thousand distinct objects at one router, so collisions stay rare.
+const sketchWidth = 1 << 12
+
+// counterTop is where a counter stops rising (the design page's ten).
+const counterTop = 10
+
+type sketch struct {
+	rows   [4][sketchWidth / 16]uint64 // 4-bit counters, 16 to a word
+	door   [sketchWidth / 16]uint64    // four bits to a counter's place
+	sample int
+}
+
+// spot gives row i's place for a key's hash: two halves stepped as one.
+func spot(h uint64, i int) uint64 { return (h + uint64(i)*(h>>32|1)) * 0x9e3779b97f4a7c15 >> 20 }
+
+func (k *sketch) counter(h uint64, i int) (word *uint64, shift uint64) {
+	p := spot(h, i) % sketchWidth
+	return &k.rows[i][p/16], p % 16 * 4
+}
+
+func (k *sketch) minimum(h uint64) uint64 {
+	low := uint64(counterTop)
+	for i := range k.rows {
+		w, s := k.counter(h, i)
+		low = min(low, *w>>s&15)
+	}
+	return low
+}
+
+func (k *sketch) inDoor(h uint64, enter bool) bool {
+	in := true
+	for i := range k.rows {
+		p := spot(h, i+4) % (sketchWidth * 4)
+		bit := uint64(1) << (p % 64)
+		in = in && k.door[p/64]&bit != 0
+		if enter {
+			k.door[p/64] |= bit
+		}
+	}
+	return in
+}
+
+func (k *sketch) estimate(h uint64) uint64 {
+	if k.inDoor(h, false) {
+		return k.minimum(h) + 1
+	}
+	return k.minimum(h)
+}
+
+// count notes one txn; only the minimal counters rise.
+func (k *sketch) count(h uint64) {
+	k.sample++
+	if !k.inDoor(h, true) {
+		return
+	}
+	low := k.minimum(h)
+	for i := range k.rows {
+		if w, s := k.counter(h, i); low < counterTop && *w>>s&15 == low {
+			*w += 1 << s
+		}
+	}
+}
+
+func (k *sketch) halve() {
+	k.sample /= 2
+	for i := range k.rows {
+		for j, w := range k.rows[i] {
+			k.rows[i][j] = w >> 1 & 0x7777777777777777
+		}
+	}
+	clear(k.door[:])
+}
+
+// listCap bounds what a router remembers of one edge cache (the design page's starting value).
+const listCap = 256
+
+// recent lists the objects that a cache was asked to keep, latest last.
+type recent []uint64
+
+func (l *recent) drop(h uint64) bool {
+	i := slices.Index(*l, h)
+	if i >= 0 {
+		*l = slices.Delete(*l, i, i+1)
+	}
+	return i >= 0
+}
+
+// admit is the design's rule: the rank at which a cache shall keep the object.
+func (r *Router) admit(s *server, h uint64) int {
+	const middle = 2
+	if !s.kept.drop(h) && len(s.kept) >= listCap {
+		if r.sketch.estimate(h) <= r.sketch.estimate(s.kept[0]) {
+			return 0
+		}
+		s.kept = slices.Delete(s.kept, 0, 1)
+	}
+	s.kept = append(s.kept, h)
+	return middle
+}
+
+// hash is FNV-1a with a final mix: the same at every router.
+func hash(text string, more ...uint64) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 1099511628211
+	}
+	for _, m := range more {
+		h = (h ^ m) * 1099511628211
+	}
+	h ^= h >> 32
+	h *= 0xd6e8feb86659fd93
+	return h ^ h>>32
+}
+
+// pcg is the permuted congruential generator of an instance.
+type pcg uint64
+
+func (p *pcg) next(n uint64) uint64 {
+	old := uint64(*p)
+	*p = pcg(old*6364136223846793005 + 1442695040888963407)
+	x := uint32((old>>18 ^ old) >> 27)
+	rot := old >> 59
+	return uint64(x>>rot|x<<(-rot&31)) % n
+}
+
+// ---- Servers and their health ----
+
+type health uint8
+
+const (
+	up health = iota
+	doubt
+	down
+	trial
+	healthy // table only: any state
+)
+
+type sign uint8
+
+const (
+	signGood   sign = iota // it answered, whatever it said
+	signBad                // refused, broke off or let a hop run out
+	signSilent             // said nothing for far longer than it used to
+	signDue                // its time away is over
+	signBorn               // the list tells of a new start
+)
+
+// healthTable judges by outcomes alone, whatever their cause. One bad sign may
+// be chance (a full connection table), two in a row or silence are not. It
+// harms where a server fails two hops in a row and is well: it then rests for
+// restFirst.
+var healthTable = []struct {
+	in   health
+	sign sign
+	next health
+	do   func(*Router, *server)
+}{
+	{up, signBad, doubt, nil},
+	{up, signSilent, down, (*Router).rest},
+	{doubt, signGood, up, nil},
+	{doubt, signBad, down, (*Router).rest},
+	{doubt, signSilent, down, (*Router).rest},
+	{down, signDue, trial, (*Router).try},
+	{down, signGood, up, (*Router).back},
+	{trial, signGood, up, (*Router).back},
+	{trial, signBad, down, (*Router).rest},
+	{trial, signSilent, down, (*Router).rest},
+	{healthy, signBorn, up, (*Router).reborn},
+}
+
+func (r *Router) judge(s *server, sign sign) {
+	for _, row := range healthTable {
+		if (row.in == s.health || row.in == healthy) && row.sign == sign {
+			s.health = row.next
+			if row.do != nil {
+				row.do(r, s)
+			}
+			return
+		}
+	}
+}
+
+// spend is work sent to a server, by its rule's mean sending time.
+type spend struct{ at, work int64 }
+
+type server struct {
+	id       string
+	hash     uint64
+	role     role
+	zone     string
+	cell     int
+	weight   float64
+	born     int64 // told by the list, or the return that was seen; 0: long past
+	listed   bool
+	out      int   // hops out
+	waiting  int64 // since when the longest silence with hops out runs
+	gaps     []int64
+	health   health
+	downAt   int64
+	due      int64
+	rests    int64
+	spent    []spend
+	sourced  []bool // of a source: whether the last hops that named it were late or failed for it
+	kept     recent
+	reported map[string]float64
+}
+
+type role uint8
+
+const (
+	edge role = iota
+	parent
+	origin
+)
+
+// rest keeps a failing server out for restFirst, doubling up to restMost:
+// soon enough for a process that restarts within seconds, rarely enough that
+// a silent machine costs one hop in a rest.
+func (r *Router) rest(s *server) {
+	const restFirst, restMost = 1 * sec, 4 * sec
+	if s.rests == 0 {
+		s.downAt = r.now
+	}
+	s.due = r.now + min(restFirst<<s.rests, restMost)
+	s.rests = min(s.rests+1, 8)
+}
+
+// try asks by probe where that is allowed; else the next hop is the trial.
+func (r *Router) try(s *server) {
+	if r.probes {
+		r.do(Action{Kind: ActProbe, Server: s.id})
+	}
+}
+
+// back welcomes a server that was away. One that was away for as long as a
+// restart takes is held for cold although the list has not told it yet.
+func (r *Router) back(s *server) {
+	const restart = 2 * sec
+	if r.now-s.downAt > restart {
+		s.born = max(s.born, r.now)
+	}
+	s.rests = 0
+	s.sourced = s.sourced[:0]
+}
+
+// reborn forgets what a restarted server was known by: it comes empty, so a
+// full list would refuse newcomers (the design page's third doubt).
+func (r *Router) reborn(s *server) {
+	s.rests, s.kept, s.sourced, s.gaps = 0, nil, nil, nil
+}
+
+// keepSamples bounds each list of samples: enough for a tail, few enough to forget in seconds.
+const keepSamples = 32
+
+func sample[T any](list []T, v T) []T {
+	if len(list) >= keepSamples {
+		list = slices.Delete(list, 0, 1)
+	}
+	return append(list, v)
+}
+
+func mean(list []int64, without int64) int64 {
+	if len(list) == 0 {
+		return without
+	}
+	sum := int64(0)
+	for _, v := range list {
+		sum += v
+	}
+	return sum / int64(len(list))
+}
+
+// heard notes an answer, and how long it had been awaited.
+func (r *Router) heard(s *server) {
+	if s.waiting > 0 {
+		s.gaps = sample(s.gaps, r.now-s.waiting)
+	}
+	s.waiting = 0
+	if s.out > 0 {
+		s.waiting = r.now
+	}
+}
+
+// silent tells whether a server with hops out has said nothing for twice as
+// long as it ever did lately. It answers any cause: a lost machine, a cut
+// link, a long stall. It harms where answers are few and sizes differ much,
+// hence the floor; the ceiling is what clients bear.
+func (r *Router) silent(s *server) bool {
+	const floor, ceiling = 600 * ms, 2500 * ms
+	if s.waiting == 0 {
+		return false
+	}
+	limit := ceiling
+	if len(s.gaps) > keepSamples/4 {
+		limit = min(max(2*slices.Max(s.gaps), floor), ceiling)
+	}
+	return r.now-s.waiting > limit
+}
+
+// ---- Budgets for cold servers ----
+
+// coldShare is the part of the fall-over budget that routers use: the rest
+// covers hops of others who learn late, and sizes above the mean.
+const coldShare = 0.45
+
+// affords tells whether a server can be sent work more: anything once warm,
+// while cold this router's share of what it can do in every window.
+func (r *Router) affords(s *server, work int64) bool {
+	c := r.cold[s.role]
+	age := r.now - s.born
+	if s.born == 0 || age >= c.lasts {
+		return true
+	}
+	sum := work
+	for _, p := range s.spent {
+		if p.at > r.now-r.fallFor {
+			sum += p.work
+		}
+	}
+	able := c.from + (1-c.from)*float64(max(age, 0))/float64(c.lasts)
+	return float64(sum) <= coldShare*c.multiple*able*s.weight*float64(r.fallFor)/c.routers
+}
+
+func (r *Router) charge(s *server, work int64) {
+	i := 0
+	for i < len(s.spent) && s.spent[i].at <= r.now-r.fallFor {
+		i++
+	}
+	s.spent = append(slices.Delete(s.spent, 0, i), spend{r.now, work})
+}
+
+// ---- Txns ----
+
+type state uint8
+
+const (
+	clean     state = iota // no hop may have run
+	tainted                // an earlier hop may have run
+	streaming              // the answer has begun
+	closed
+)
+
+type input uint8
+
+const (
+	inUnrun   input = iota // a hop ended and is proven not to have run
+	inMaybe                // a hop ended and may have run
+	inLost                 // a hop is out at a server that went silent
+	inDue                  // the time of a held txn has come
+	inStarted              // the answer begins
+	inFinal                // closed by an outcome or by the client
+	inArrive
+)
+
+type txnRow struct {
+	in   state
+	what input
+	next state
+	do   func(*Router, *txn)
+}
+
+var txnTable []txnRow
+
+// The table is filled here, since its effects lead back to it.
+func init() {
+	txnTable = []txnRow{
+		{clean, inArrive, clean, (*Router).hop},
+		{clean, inUnrun, clean, (*Router).again},
+		{clean, inMaybe, tainted, (*Router).again},
+		{clean, inLost, clean, (*Router).double},
+		{clean, inDue, clean, (*Router).hop},
+		{clean, inStarted, streaming, nil},
+		{clean, inFinal, closed, (*Router).forget},
+		{tainted, inUnrun, tainted, (*Router).again},
+		{tainted, inMaybe, tainted, (*Router).again},
+		{tainted, inLost, tainted, (*Router).double},
+		{tainted, inDue, tainted, (*Router).hop},
+		{tainted, inStarted, streaming, nil},
+		{tainted, inFinal, closed, (*Router).forget},
+		{streaming, inFinal, closed, (*Router).forget},
+	}
+}
+
+func (r *Router) step(t *txn, what input) {
+	for _, row := range txnTable {
+		if row.in == t.state && row.what == what {
+			t.state = row.next
+			if row.do != nil {
+				row.do(r, t)
+			}
+			return
+		}
+	}
+}
+
+type effect uint8
+
+const (
+	repeatable effect = iota
+	keyedAll
+	keyedZone
+	keyedCell
+	unrepeatable
+)
+
+// mayTable says what rule 2 leaves once a hop may have run or is still out:
+// another hop (within the group and its window, where keyed), a rejection.
+var mayTable = []struct {
+	effect               effect
+	again, reject, timed bool
+	group                func(a, b *server) bool
+}{
+	{repeatable, true, true, false, func(_, _ *server) bool { return true }},
+	{keyedAll, true, true, true, func(_, _ *server) bool { return true }},
+	{keyedZone, true, false, true, func(a, b *server) bool { return a.zone == b.zone }},
+	{keyedCell, true, false, true, func(a, b *server) bool { return a.zone == b.zone && a.cell == b.cell }},
+	{unrepeatable, false, false, false, nil},
+}
+
+type hop struct {
+	server, source *server
+	sent           int64
+	out, lost      bool
+	work           int64
+}
+
+type txn struct {
+	id       string
+	rule     *rule
+	key      uint64
+	object   string
+	group    int64
+	work     int64 // sending time, where the size is told
+	arrived  int64
+	deadline int64
+	state    state
+	due      int64 // of a held txn; 0: not held
+	firstRun int64 // when the first hop that may have run went out
+	hops     []hop
+	tried    []*server // servers and sources that failed this txn
+}
+
+type rule struct {
+	effect       effect
+	window       int64
+	sla          int64
+	stretch      float64
+	fresh, grace int64
+	write        bool
+	works        []int64 // sending times of the last txns
+}
+
+// taint tells whether rule 2 binds now: a hop may have run or is out.
+func (t *txn) taint() bool {
+	return t.state == tainted || slices.ContainsFunc(t.hops, func(h hop) bool { return h.out })
+}
+
+// may tells whether rule 2 lets the txn go to a server now.
+func (r *Router) may(t *txn, s *server) bool {
+	if !t.taint() {
+		return true
+	}
+	m := &mayTable[t.rule.effect]
+	first := t.hops[slices.IndexFunc(t.hops, func(h hop) bool { return h.sent == t.firstRun })].server
+	return m.again && (!m.timed || r.now-t.firstRun < t.rule.window) && m.group(first, s)
+}
+
+// ---- The router ----
+
+type cold struct {
+	from, multiple, routers float64
+	lasts                   int64
+}
+
+// Router is one instance.
+type Router struct {
+	now     int64
+	out     []Action
+	rand    pcg
+	sketch  sketch
+	sampleN int
+	servers map[string]*server
+	order   []*server // every server ever listed, by id
+	origin  *server
+	rules   map[string]*rule
+	txns    map[string]*txn
+	open    []*txn
+	purges  []purge
+	ticking bool
+	halveAt int64
+	askAt   int64
+
+	zone                                string
+	kinds                               map[string]role
+	cold                                [3]cold
+	fallFor                             int64
+	flow                                float64 // KB in a microsecond
+	purgeDone                           int64
+	stay                                int64
+	maxHops                             int
+	direct, joins, probes, cancel, pair bool
+	ask                                 bool
+}
+
+type purge struct {
+	object string
+	group  int64
+	at     int64
+}
+
+// New starts an instance: the settings become the figures that decisions use.
+func New(set Settings, seed uint64) *Router {
+	c, f, l := &set.Contract, &set.Family, &set.Limits
+	r := &Router{
+		rand: pcg(seed), servers: map[string]*server{}, rules: map[string]*rule{}, txns: map[string]*txn{},
+		zone: set.Zone, kinds: map[string]role{}, fallFor: c.FallFor, flow: f.FlowKBPerS / float64(sec),
+		purgeDone: f.PurgeDone, maxHops: max(l.MaxHops, 1), direct: f.Direct, joins: f.Joins,
+		probes: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, ask: set.Discovery == "ask",
+	}
+	if l.RetryAfter {
+		r.stay = l.MaxRetryAfter
+	}
+	if f.ParentKind >= 0 && f.ParentKind < len(set.Kinds) {
+		r.kinds[set.Kinds[f.ParentKind]] = parent
+	}
+	if f.OriginKind >= 0 && f.OriginKind < len(set.Kinds) {
+		r.kinds[set.Kinds[f.OriginKind]] = origin
+	}
+	near := max(set.Siblings, 1)
+	if i := slices.Index(set.Zones, set.Zone); i >= 0 && i < len(f.ZoneBalancers) && f.ZoneBalancers[i] > 0 {
+		near = f.ZoneBalancers[i]
+	}
+	r.cold[edge] = cold{c.ColdFrom, c.FallMultiple, float64(near), c.ColdFor}
+	r.cold[parent] = cold{f.ParentColdFrom, f.ParentFallMultiple, float64(max(set.Siblings, 1)), f.ParentColdFor}
+	for _, k := range set.Rules {
+		e := repeatable
+		switch k.Effect + " " + k.Group {
+		case "keyed zone":
+			e = keyedZone
+		case "keyed cell":
+			e = keyedCell
+		case "keyed all", "keyed ":
+			e = keyedAll
+		default:
+			if k.Effect == "unsafe" {
+				e = unrepeatable
+			}
+		}
+		r.rules[k.Name] = &rule{effect: e, window: k.Window, sla: k.SLA, stretch: k.Stretch,
+			fresh: k.Fresh, grace: k.Grace, write: k.Write}
+	}
+	return r
+}
+
+// Handle takes one event at the given time and appends the actions to out.
+func (r *Router) Handle(now int64, e Event, out []Action) []Action {
+	r.now, r.out = now, out
+	switch e.Kind {
+	case EvDiscovery:
+		r.discover(e)
+	case EvTxn:
+		r.arrive(e)
+	case EvAnswer:
+		r.answer(e)
+	case EvStarted:
+		if t := r.txns[e.Txn]; t != nil {
+			if s := r.servers[e.Server]; s != nil {
+				r.heard(s)
+				r.judge(s, signGood)
+			}
+			r.step(t, inStarted)
+		}
+	case EvAbandoned:
+		if t := r.txns[e.Txn]; t != nil {
+			r.step(t, inFinal)
+		}
+	case EvHealth:
+		if s := r.servers[e.Server]; s != nil {
+			if e.Code == "done" {
+				r.judge(s, signGood)
+			} else {
+				r.judge(s, signBad)
+			}
+		}
+	case EvPurge:
+		r.purges = append(r.purges, purge{e.Object, e.Group, now - e.Age})
+	case EvTimer:
+		r.ticking = false
+		r.sweep()
+	}
+	r.tick()
+	return r.out
+}
+
+func (r *Router) do(a Action) { r.out = append(r.out, a) }
+
+// tick keeps one timer running while anything is open or resting.
+func (r *Router) tick() {
+	const every = 25 * ms // well under any SLA time, and cheap
+	if !r.ticking {
+		r.ticking = true
+		r.do(Action{Kind: ActTimer, Due: r.now + every, Token: 1})
+	}
+}
+
+// discover follows the list; a full one removes whom it does not name.
+func (r *Router) discover(e Event) {
+	const retry = 1 * sec // after a failed call to discovery; it is shared by all routers
+	if e.Scope == "error" {
+		r.askAt = r.now + retry
+		return
+	}
+	if r.ask && e.Scope == "disk" {
+		r.do(Action{Kind: ActSubscribe})
+	}
+	if e.Scope != "diff" {
+		for _, s := range r.order {
+			s.listed = false
+		}
+	}
+	for _, n := range e.Entries {
+		s := r.servers[n.Server]
+		if s == nil {
+			s = &server{id: n.Server, hash: hash(n.Server), born: n.Born}
+			r.servers[n.Server] = s
+			at, _ := slices.BinarySearchFunc(r.order, s, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+			r.order = slices.Insert(r.order, at, s)
+		}
+		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
+		s.listed = n.State == "active"
+		if n.Born > s.born {
+			s.born = n.Born
+			r.judge(s, signBorn)
+		}
+		if s.role == origin {
+			r.origin = s
+		}
+	}
+	r.sampleN = 0
+	for _, s := range r.order {
+		if s.listed && s.role == edge && s.zone == r.zone {
+			r.sampleN += 10 * listCap // the paper's ten times the cache size
+		}
+	}
+}
+
+func (r *Router) arrive(e Event) {
+	k := r.rules[e.Rule]
+	if k == nil {
+		k = &rule{effect: unrepeatable, sla: e.Remaining, write: e.Write}
+		r.rules[e.Rule] = k
+	}
+	t := &txn{id: e.Txn, rule: k, key: hash(e.Object, uint64(e.Part)), object: e.Object, group: e.Group,
+		arrived: r.now, deadline: r.now + e.Remaining}
+	if e.SizeKB > 0 && r.flow > 0 {
+		t.work = int64(e.SizeKB / r.flow)
+		k.works = sample(k.works, t.work)
+	}
+	r.txns[t.id] = t
+	r.open = append(r.open, t)
+	if !k.write {
+		r.sketch.count(t.key)
+		if r.sampleN > 0 && r.sketch.sample >= r.sampleN {
+			r.sketch.halve()
+		}
+	}
+	r.step(t, inArrive)
+}
+
+// usable tells whether a server may be sent this txn now or supply it.
+func (r *Router) usable(s *server, work int64) bool {
+	return s.listed && s.health != down && !(s.health == trial && (s.out > 0 || r.probes)) && r.affords(s, work)
+}
+
+// pick is rendezvous hashing: the usable server of greatest weight for the
+// object, those that failed this txn last.
+func (r *Router) pick(t *txn, role role, work int64) *server {
+	var best *server
+	var top uint64
+	failed := true
+	for _, s := range r.order {
+		if s.role != role || role == edge && s.zone != r.zone || !r.usable(s, work) || !r.may(t, s) && role == edge {
+			continue
+		}
+		f := slices.Contains(t.tried, s)
+		if w := hash("", t.key, s.hash); best == nil || failed && !f || f == failed && w > top {
+			best, top, failed = s, w, f
+		}
+	}
+	return best
+}
+
+func (r *Router) source(t *txn, work int64) *server {
+	if p := r.pick(t, parent, work); p != nil && !slices.Contains(t.tried, p) {
+		return p
+	}
+	return r.origin
+}
+
+// age bounds copies by the purges that may still matter (rule 5).
+func (r *Router) age(t *txn) int64 {
+	age := t.rule.fresh
+	for _, p := range r.purges {
+		if since := r.now - p.at; since < r.purgeDone+ms && (p.object == t.object || p.object == "" && p.group == t.group) {
+			since = max(since-ms, 1)
+			if age == 0 || since < age {
+				age = since
+			}
+		}
+	}
+	return age
+}
+
+const (
+	modeJoin  = 1
+	modeRenew = 8
+)
+
+// hop sends the txn out, or gives it up where nowhere is left.
+func (r *Router) hop(t *txn) {
+	t.due = 0
+	left := t.deadline - r.now
+	work := mean(t.rule.works, t.rule.sla)
+	var to, from *server
+	rank := 0
+	if t.rule.write && r.direct {
+		to, from = r.origin, r.origin
+	} else if to = r.pick(t, edge, work); to != nil {
+		from = r.source(t, work)
+		if t.rule.write {
+			from = r.origin
+		}
+	} else if r.direct {
+		to, from = r.source(t, work), r.origin
+	}
+	if to == nil || from == nil || left <= 0 || len(t.hops) >= r.maxHops || !r.may(t, to) {
+		r.giveUp(t)
+		return
+	}
+	mode := 0
+	if !t.rule.write {
+		if to.role == edge {
+			rank = r.admit(to, t.key)
+			if t.rule.fresh > 0 {
+				mode |= modeRenew
+			}
+		}
+		if r.joins {
+			mode |= modeJoin
+		}
+	}
+	if t.state == clean && !t.taint() {
+		t.firstRun = r.now
+	}
+	t.hops = append(t.hops, hop{server: to, source: from, sent: r.now, out: true, work: work})
+	if to.out++; to.waiting == 0 {
+		to.waiting = r.now
+	}
+	r.charge(to, work)
+	if from != to {
+		r.charge(from, work)
+	}
+	r.do(Action{Kind: ActGet, Txn: t.id, Server: to.id, Source: from.id, Rank: rank, Age: r.age(t), Cap: left, Mode: mode})
+}
+
+// again follows a hop that ended without an answer.
+func (r *Router) again(t *txn) {
+	if slices.ContainsFunc(t.hops, func(h hop) bool { return h.out }) {
+		return
+	}
+	if t.rule.write {
+		const pause = 60 * ms // lets a crowded origin breathe; a few fit into a write's SLA time
+		t.due = r.now + pause
+		if t.due >= t.deadline || t.taint() && !mayTable[t.rule.effect].again || len(t.hops) >= r.maxHops {
+			r.giveUp(t)
+		}
+		return
+	}
+	r.hop(t)
+}
+
+// double sends a second copy while the first is out, or withdraws the first
+// so that its end brings the next hop.
+func (r *Router) double(t *txn) {
+	if t.rule.effect != repeatable {
+		return
+	}
+	if r.pair && len(t.hops) < r.maxHops {
+		if work := mean(t.rule.works, t.rule.sla); r.pick(t, edge, work) != nil {
+			r.hop(t)
+		}
+	} else if r.cancel {
+		r.do(Action{Kind: ActCancel, Txn: t.id, Hop: len(t.hops) - 1})
+	}
+}
+
+// giveUp answers at once: rejected where rule 2 allows, else aborted.
+func (r *Router) giveUp(t *txn) {
+	if r.now < t.deadline && (!t.taint() || mayTable[t.rule.effect].reject) {
+		r.do(Action{Kind: ActReject, Txn: t.id, Stay: r.stay})
+	} else {
+		r.do(Action{Kind: ActAbort, Txn: t.id})
+	}
+	r.step(t, inFinal)
+}
+
+// forget withdraws hops still out for a closed txn; their ends are only heard.
+func (r *Router) forget(t *txn) {
+	for i, h := range t.hops {
+		if h.out {
+			h.server.out--
+			if r.cancel {
+				r.do(Action{Kind: ActCancel, Txn: t.id, Hop: i})
+			}
+		}
+	}
+	delete(r.txns, t.id)
+	r.open = slices.DeleteFunc(r.open, func(o *txn) bool { return o == t })
+}
+
+// outcomes turns a hop's end into what it means for the txn and its server.
+var outcomes = map[string]struct {
+	txn  input
+	sign sign
+}{
+	"done": {inFinal, signGood}, "err": {inMaybe, signGood}, "busy": {inUnrun, signGood},
+	"enoent": {inUnrun, signGood}, "etimedout": {inMaybe, signBad}, "econnrefused": {inUnrun, signBad},
+	"econnreset": {inMaybe, signBad}, "ecanceled": {inMaybe, signDue}, "skipped": {inUnrun, signDue},
+}
+
+func (r *Router) answer(e Event) {
+	s, t := r.servers[e.Server], r.txns[e.Txn]
+	o, known := outcomes[e.Code]
+	if !known || s == nil {
+		return
+	}
+	if o.sign != signDue {
+		if o.sign == signGood {
+			r.heard(s)
+		}
+		r.judge(s, o.sign)
+	}
+	if t == nil || e.Hop < 0 || e.Hop >= len(t.hops) || !t.hops[e.Hop].out {
+		return
+	}
+	h := &t.hops[e.Hop]
+	h.out = false
+	if s.out--; s.out == 0 {
+		s.waiting = 0
+	}
+	if e.Code == "done" && t.work == 0 && !t.rule.write {
+		t.rule.works = sample(t.rule.works, e.RTT)
+	}
+	if e.Final {
+		r.step(t, inFinal)
+		return
+	}
+	t.tried = append(t.tried, s)
+	if e.Note >= 6 && e.Note != 9 && h.source != s {
+		t.tried = append(t.tried, h.source)
+	}
+	r.step(t, o.txn)
+}
+
+// sweep does what time brings.
+func (r *Router) sweep() {
+	const halveEvery = 10 * sec // the design page's starting value
+	if r.halveAt == 0 {
+		r.halveAt = r.now + halveEvery
+	}
+	if r.now >= r.halveAt {
+		r.halveAt = r.now + halveEvery
+		r.sketch.halve()
+	}
+	if r.askAt > 0 && r.now >= r.askAt {
+		r.askAt = 0
+		r.do(Action{Kind: ActSubscribe})
+	}
+	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool { return r.now-p.at > r.purgeDone+ms })
+	for _, s := range r.order {
+		if s.health == down && r.now >= s.due {
+			r.judge(s, signDue)
+		}
+		if r.silent(s) {
+			r.judge(s, signSilent)
+			s.waiting = r.now
+		}
+	}
+	for _, t := range slices.Clone(r.open) {
+		last := len(t.hops) - 1
+		switch {
+		case t.due > 0 && r.now >= t.due:
+			r.step(t, inDue)
+		case last >= 0 && t.hops[last].out && !t.hops[last].lost && t.hops[last].server.health == down:
+			t.hops[last].lost = true
+			t.tried = append(t.tried, t.hops[last].server)
+			r.step(t, inLost)
+		}
+	}
+}
