--- a/logic/logic.go
+++ b/logic/logic.go
@@ -614,12 +614,14 @@
 
 func (r *Router) do(a Action) { r.out = append(r.out, a) }
 
-// tick keeps one timer running while anything is open or resting.
+// tickEvery is well under any SLA time, and cheap.
+const tickEvery = 25 * ms
+
+// tick keeps one timer running.
 func (r *Router) tick() {
-	const every = 25 * ms // well under any SLA time, and cheap
 	if !r.ticking {
 		r.ticking = true
-		r.do(Action{Kind: ActTimer, Due: r.now + every, Token: 1})
+		r.do(Action{Kind: ActTimer, Due: r.now + tickEvery, Token: 1})
 	}
 }
 
@@ -753,7 +755,13 @@
 	} else if r.direct {
 		to, from = r.source(t, work), r.origin
 	}
-	if to == nil || from == nil || left <= 0 || len(t.hops) >= r.maxHops || !r.may(t, to) {
+	// A second place may have what the first lacks; more tries only feed a jam.
+	const mostReads = 2
+	most := r.maxHops
+	if !t.rule.write {
+		most = min(most, mostReads)
+	}
+	if to == nil || from == nil || left <= 0 || len(t.hops) >= most || !r.may(t, to) {
 		r.giveUp(t)
 		return
 	}
@@ -791,7 +799,7 @@
 	if t.rule.write {
 		const pause = 60 * ms // lets a crowded origin breathe; a few fit into a write's SLA time
 		t.due = r.now + pause
-		if t.due >= t.deadline || t.taint() && !mayTable[t.rule.effect].again || len(t.hops) >= r.maxHops {
+		if t.due+2*tickEvery >= t.deadline || t.taint() && !mayTable[t.rule.effect].again || len(t.hops) >= r.maxHops {
 			r.giveUp(t)
 		}
 		return
