Call a cache silent only after three unanswered hops and a probe where allowed

Cause: a hop that timed out behind a slow origin was held against its cache, and single slow fills passed for silence, so healthy caches were rested and their hops withdrawn. Should also guard against long stalls; harms where few hops go to a cache that is really gone.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -159,10 +159,11 @@
 
 const (
 	signGood   sign = iota // it answered, whatever it said
-	signBad                // refused, broke off or let a hop run out
+	signBad                // refused, broke off or let a probe run out
 	signSilent             // said nothing for far longer than it used to
 	signDue                // its time away is over
 	signBorn               // the list tells of a new start
+	signNone               // tells nothing of the server
 )
 
 // healthTable judges by outcomes alone, whatever their cause. One bad sign may
@@ -176,11 +177,11 @@
 	do   func(*Router, *server)
 }{
 	{up, signBad, doubt, nil},
-	{up, signSilent, down, (*Router).rest},
+	{up, signSilent, doubt, (*Router).ask},
 	{doubt, signGood, up, nil},
 	{doubt, signBad, down, (*Router).rest},
 	{doubt, signSilent, down, (*Router).rest},
-	{down, signDue, trial, (*Router).try},
+	{down, signDue, trial, (*Router).ask},
 	{down, signGood, up, (*Router).back},
 	{trial, signGood, up, (*Router).back},
 	{trial, signBad, down, (*Router).rest},
@@ -245,9 +246,9 @@
 	s.rests = min(s.rests+1, 8)
 }
 
-// try asks by probe where that is allowed; else the next hop is the trial.
-func (r *Router) try(s *server) {
-	if r.probes {
+// ask probes where that is allowed; else the next hop tells.
+func (r *Router) ask(s *server) {
+	if r.canProbe {
 		r.do(Action{Kind: ActProbe, Server: s.id})
 	}
 }
@@ -301,13 +302,14 @@
 	}
 }
 
-// silent tells whether a server with hops out has said nothing for twice as
-// long as it ever did lately. It answers any cause: a lost machine, a cut
-// link, a long stall. It harms where answers are few and sizes differ much,
-// hence the floor; the ceiling is what clients bear.
+// silent tells whether a server has left several hops, one after the other,
+// without a word for twice as long as it ever took lately. It answers any
+// cause: a lost machine, a cut link, a long stall. It harms where answers are
+// few and sizes differ much, hence the count and the floor; a probe settles
+// it where there is one. The ceiling is what clients bear.
 func (r *Router) silent(s *server) bool {
-	const floor, ceiling = 600 * ms, 2500 * ms
-	if s.waiting == 0 {
+	const floor, ceiling, unheard = 600 * ms, 2500 * ms, 3
+	if s.waiting == 0 || s.out < unheard {
 		return false
 	}
 	limit := ceiling
@@ -510,16 +512,16 @@
 	halveAt int64
 	askAt   int64
 
-	zone                                string
-	kinds                               map[string]role
-	cold                                [3]cold
-	fallFor                             int64
-	flow                                float64 // KB in a microsecond
-	purgeDone                           int64
-	stay                                int64
-	maxHops                             int
-	direct, joins, probes, cancel, pair bool
-	ask                                 bool
+	zone                                  string
+	kinds                                 map[string]role
+	cold                                  [3]cold
+	fallFor                               int64
+	flow                                  float64 // KB in a microsecond
+	purgeDone                             int64
+	stay                                  int64
+	maxHops                               int
+	direct, joins, canProbe, cancel, pair bool
+	pull                                  bool // discovery must be asked
 }
 
 type purge struct {
@@ -535,7 +537,7 @@
 		rand: pcg(seed), servers: map[string]*server{}, rules: map[string]*rule{}, txns: map[string]*txn{},
 		zone: set.Zone, kinds: map[string]role{}, fallFor: c.FallFor, flow: f.FlowKBPerS / float64(sec),
 		purgeDone: f.PurgeDone, maxHops: max(l.MaxHops, 1), direct: f.Direct, joins: f.Joins,
-		probes: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, ask: set.Discovery == "ask",
+		canProbe: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, pull: set.Discovery == "ask",
 	}
 	if l.RetryAfter {
 		r.stay = l.MaxRetryAfter
@@ -632,7 +634,7 @@
 		r.askAt = r.now + retry
 		return
 	}
-	if r.ask && e.Scope == "disk" {
+	if r.pull && e.Scope == "disk" {
 		r.do(Action{Kind: ActSubscribe})
 	}
 	if e.Scope != "diff" {
@@ -691,7 +693,7 @@
 
 // usable tells whether a server may be sent this txn now or supply it.
 func (r *Router) usable(s *server, work int64) bool {
-	return s.listed && s.health != down && !(s.health == trial && (s.out > 0 || r.probes)) && r.affords(s, work)
+	return s.listed && s.health != down && !(s.health == trial && (s.out > 0 || r.canProbe)) && r.affords(s, work)
 }
 
 // pick is rendezvous hashing: the usable server of greatest weight for the
@@ -852,8 +854,8 @@
 	sign sign
 }{
 	"done": {inFinal, signGood}, "err": {inMaybe, signGood}, "busy": {inUnrun, signGood},
-	"enoent": {inUnrun, signGood}, "etimedout": {inMaybe, signBad}, "econnrefused": {inUnrun, signBad},
-	"econnreset": {inMaybe, signBad}, "ecanceled": {inMaybe, signDue}, "skipped": {inUnrun, signDue},
+	"enoent": {inUnrun, signGood}, "etimedout": {inMaybe, signNone}, "econnrefused": {inUnrun, signBad},
+	"econnreset": {inMaybe, signBad}, "ecanceled": {inMaybe, signNone}, "skipped": {inUnrun, signNone},
 }
 
 func (r *Router) answer(e Event) {
@@ -862,7 +864,7 @@
 	if !known || s == nil {
 		return
 	}
-	if o.sign != signDue {
+	if o.sign != signNone {
 		if o.sign == signGood {
 			r.heard(s)
 		}
