Shed by value over a learned limit of hops out for each cache

Each cache now has a limit of hops out, raised by timely answers and cut by late or refused ones; over it the txns that earn least for their sending time are rejected at once. Should also guard against slow links, lost caches and slow fills; harms where single answers are late for a cause that fewer hops do not mend.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -205,25 +205,26 @@
 type spend struct{ at, work int64 }
 
 type server struct {
-	id       string
-	hash     uint64
-	role     role
-	zone     string
-	cell     int
-	weight   float64
-	born     int64 // told by the list, or the return that was seen; 0: long past
-	listed   bool
-	out      int   // hops out
-	waiting  int64 // since when the longest silence with hops out runs
-	gaps     []int64
-	health   health
-	downAt   int64
-	due      int64
-	rests    int64
-	spent    []spend
-	sourced  []bool // of a source: whether the last hops that named it were late or failed for it
-	kept     recent
-	reported map[string]float64
+	id      string
+	hash    uint64
+	role    role
+	zone    string
+	cell    int
+	weight  float64
+	born    int64 // told by the list, or the return that was seen; 0: long past
+	listed  bool
+	out     int   // hops out
+	waiting int64 // since when the longest silence with hops out runs
+	gaps    []int64
+	health  health
+	downAt  int64
+	due     int64
+	rests   int64
+	spent   []spend
+	sourced []bool // of a source: whether the last hops that named it were late or failed for it
+	kept    recent
+	limit   float64 // hops out that it has lately answered in time; 0: not known yet
+	cutAt   int64
 }
 
 type role uint8
@@ -351,6 +352,52 @@
 	s.spent = append(slices.Delete(s.spent, 0, i), spend{r.now, work})
 }
 
+// ---- Overload ----
+
+// sla is the time within which the txn's answer earns all. Where sizes are not
+// told, half the rule's SLA time stands for the sending time: measured times
+// would grow with the very jam that they should show.
+func (t *txn) sla() int64 {
+	work := t.work
+	if work == 0 {
+		work = t.rule.sla / 2
+	}
+	return t.rule.sla + int64(t.rule.stretch*float64(work))
+}
+
+// learn moves a cache's limit of hops out: up by one a round of timely answers,
+// down by a part at the first sign of a jam, then not again for a round. It
+// answers whatever makes a cache late: its link, its cores, slow fills. It
+// harms where single answers are late for a cause that fewer hops don't mend.
+func (r *Router) learn(s *server, timely bool) {
+	const least, cut, round = 2, 0.85, 200 * ms
+	switch {
+	case timely && float64(s.out) >= s.limit/2:
+		s.limit += 1 / s.limit
+	case !timely && r.now-s.cutAt > round:
+		s.cutAt = r.now
+		s.limit = max(min(s.limit, float64(s.out))*cut, least)
+	}
+}
+
+// jammed tells whether a cache has no room for the txn. What earns least for
+// its sending time is shed first: the poorest at half the limit, the best at
+// half above it.
+func (r *Router) jammed(t *txn, s *server) bool {
+	if s.role != edge || t.rule.write {
+		return false
+	}
+	below := 0.0
+	for _, v := range r.values {
+		if v < t.value {
+			below++
+		} else if v == t.value {
+			below += 0.5
+		}
+	}
+	return float64(s.out) >= s.limit*(0.5+below/float64(max(len(r.values), 1)))
+}
+
 // ---- Txns ----
 
 type state uint8
@@ -453,6 +500,7 @@
 	object   string
 	group    int64
 	work     int64 // sending time, where the size is told
+	value    float64
 	arrived  int64
 	deadline int64
 	state    state
@@ -469,6 +517,7 @@
 	stretch      float64
 	fresh, grace int64
 	write        bool
+	importance   float64
 	works        []int64 // sending times of the last txns
 }
 
@@ -507,6 +556,7 @@
 	rules   map[string]*rule
 	txns    map[string]*txn
 	open    []*txn
+	values  []float64 // importance for sending time of the last txns
 	purges  []purge
 	ticking bool
 	halveAt int64
@@ -569,7 +619,7 @@
 			}
 		}
 		r.rules[k.Name] = &rule{effect: e, window: k.Window, sla: k.SLA, stretch: k.Stretch,
-			fresh: k.Fresh, grace: k.Grace, write: k.Write}
+			fresh: k.Fresh, grace: k.Grace, write: k.Write, importance: k.Importance}
 	}
 	return r
 }
@@ -650,6 +700,9 @@
 			at, _ := slices.BinarySearchFunc(r.order, s, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 			r.order = slices.Insert(r.order, at, s)
 		}
+		if s.limit == 0 {
+			s.limit = 3 * max(n.Weight, 1) / r.cold[edge].routers // above any use in calm: answers bring it down
+		}
 		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
 		s.listed = n.State == "active"
 		if n.Born > s.born {
@@ -680,6 +733,11 @@
 		t.work = int64(e.SizeKB / r.flow)
 		k.works = sample(k.works, t.work)
 	}
+	t.value = k.importance / float64(max(t.work, mean(k.works, k.sla)/8))
+	if t.work == 0 {
+		t.value = k.importance / float64(k.sla)
+	}
+	r.values = sample(r.values, t.value)
 	r.txns[t.id] = t
 	r.open = append(r.open, t)
 	if !k.write {
@@ -763,7 +821,7 @@
 	if !t.rule.write {
 		most = min(most, mostReads)
 	}
-	if to == nil || from == nil || left <= 0 || len(t.hops) >= most || !r.may(t, to) {
+	if to == nil || from == nil || left <= 0 || len(t.hops) >= most || !r.may(t, to) || r.jammed(t, to) {
 		r.giveUp(t)
 		return
 	}
@@ -881,6 +939,9 @@
 	if e.Code == "done" && t.work == 0 && !t.rule.write {
 		t.rule.works = sample(t.rule.works, e.RTT)
 	}
+	if s.role == edge && e.Code != "ecanceled" && e.Code != "enoent" {
+		r.learn(s, e.Code == "done" && r.now-h.sent <= t.sla())
+	}
 	if e.Final {
 		r.step(t, inFinal)
 		return
