--- a/logic/logic.go
+++ b/logic/logic.go
@@ -225,6 +225,7 @@
 	kept    recent
 	limit   float64 // hops out that it has lately answered in time; 0: not known yet
 	cutAt   int64
+	late    []bool // of the last hops that ended
 }
 
 type role uint8
@@ -366,15 +367,23 @@
 }
 
 // learn moves a cache's limit of hops out: up by one a round of timely answers,
-// down by a part at the first sign of a jam, then not again for a round. It
-// answers whatever makes a cache late: its link, its cores, slow fills. It
-// harms where single answers are late for a cause that fewer hops don't mend.
+// down by a part when a quarter of the last ones were late or refused, then not
+// again for a round. It answers whatever makes a cache late: its link, its
+// cores, slow fills. It harms where answers are late for a cause that fewer
+// hops don't mend.
 func (r *Router) learn(s *server, timely bool) {
-	const least, cut, round = 2, 0.85, 200 * ms
+	const least, cut, round, few = 2, 0.85, 200 * ms, 4
+	s.late = sample(s.late, !timely)
+	late := 0
+	for _, l := range s.late[max(0, len(s.late)-4*few):] {
+		if l {
+			late++
+		}
+	}
 	switch {
 	case timely && float64(s.out) >= s.limit/2:
 		s.limit += 1 / s.limit
-	case !timely && r.now-s.cutAt > round:
+	case !timely && late >= few && r.now-s.cutAt > round:
 		s.cutAt = r.now
 		s.limit = max(min(s.limit, float64(s.out))*cut, least)
 	}
