Look for a kept copy where fills are late, under a limit of its own

Cause: behind a slow origin or emptied caches the limit shed hits together with misses. A jammed cache is now asked only for what it holds; a miss is rejected unless a fill has room by then. Should also guard against lost parents and full links in; harms where looks double the hops at a cold cache.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -223,9 +223,7 @@
 	spent   []spend
 	sourced []bool // of a source: whether the last hops that named it were late or failed for it
 	kept    recent
-	limit   float64 // hops out that it has lately answered in time; 0: not known yet
-	cutAt   int64
-	late    []bool // of the last hops that ended
+	room    [2]room // for hops that may fill, and for looks
 }
 
 type role uint8
@@ -366,36 +364,44 @@
 	return t.rule.sla + int64(t.rule.stretch*float64(work))
 }
 
-// learn moves a cache's limit of hops out: up by one a round of timely answers,
-// down by a part when a quarter of the last ones were late or refused, then not
-// again for a round. It answers whatever makes a cache late: its link, its
-// cores, slow fills. It harms where answers are late for a cause that fewer
-// hops don't mend.
-func (r *Router) learn(s *server, timely bool) {
+// room is how many hops of a kind a cache has lately answered in time.
+type room struct {
+	out, limit float64
+	cutAt      int64
+	late       []bool // of the last hops that ended
+}
+
+const (
+	fills = iota // hops that may bring a fill
+	looks        // hops that take only what the cache holds
+)
+
+// learn moves a limit: up by one a round of timely answers, down by a part
+// when a quarter of the last ones were late or refused, then not again for a
+// round. It answers whatever makes a cache late: its link, its cores, slow
+// fills. It harms where answers are late for a cause that fewer hops don't mend.
+func (r *Router) learn(m *room, timely bool) {
 	const least, cut, round, few = 2, 0.85, 200 * ms, 4
-	s.late = sample(s.late, !timely)
+	m.late = sample(m.late, !timely)
 	late := 0
-	for _, l := range s.late[max(0, len(s.late)-4*few):] {
+	for _, l := range m.late[max(0, len(m.late)-4*few):] {
 		if l {
 			late++
 		}
 	}
 	switch {
-	case timely && float64(s.out) >= s.limit/2:
-		s.limit += 1 / s.limit
-	case !timely && late >= few && r.now-s.cutAt > round:
-		s.cutAt = r.now
-		s.limit = max(min(s.limit, float64(s.out))*cut, least)
+	case timely && m.out >= m.limit/2:
+		m.limit += 1 / m.limit
+	case !timely && late >= few && r.now-m.cutAt > round:
+		m.cutAt = r.now
+		m.limit = max(min(m.limit, m.out)*cut, least)
 	}
 }
 
 // jammed tells whether a cache has no room for the txn. What earns least for
 // its sending time is shed first: the poorest at half the limit, the best at
 // half above it.
-func (r *Router) jammed(t *txn, s *server) bool {
-	if s.role != edge || t.rule.write {
-		return false
-	}
+func (r *Router) jammed(t *txn, m *room) bool {
 	below := 0.0
 	for _, v := range r.values {
 		if v < t.value {
@@ -404,7 +410,7 @@
 			below += 0.5
 		}
 	}
-	return float64(s.out) >= s.limit*(0.5+below/float64(max(len(r.values), 1)))
+	return m.out >= m.limit*(0.5+below/float64(max(len(r.values), 1)))
 }
 
 // ---- Txns ----
@@ -499,7 +505,7 @@
 	server, source *server
 	sent           int64
 	out, lost      bool
-	work           int64
+	kind           int
 }
 
 type txn struct {
@@ -512,6 +518,7 @@
 	value    float64
 	arrived  int64
 	deadline int64
+	looked   bool
 	state    state
 	due      int64 // of a held txn; 0: not held
 	firstRun int64 // when the first hop that may have run went out
@@ -709,8 +716,10 @@
 			at, _ := slices.BinarySearchFunc(r.order, s, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 			r.order = slices.Insert(r.order, at, s)
 		}
-		if s.limit == 0 {
-			s.limit = 3 * max(n.Weight, 1) / r.cold[edge].routers // above any use in calm: answers bring it down
+		for i := range s.room {
+			if s.room[i].limit == 0 {
+				s.room[i].limit = 3 * max(n.Weight, 1) / r.cold[edge].routers // above any use in calm: answers bring it down
+			}
 		}
 		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
 		s.listed = n.State == "active"
@@ -827,16 +836,28 @@
 	// A second place may have what the first lacks; more tries only feed a jam.
 	const mostReads = 2
 	most := r.maxHops
-	if !t.rule.write {
+	if t.looked {
+		most = min(most, mostReads+1)
+	} else if !t.rule.write {
 		most = min(most, mostReads)
 	}
-	if to == nil || from == nil || left <= 0 || len(t.hops) >= most || !r.may(t, to) || r.jammed(t, to) {
+	if to == nil || from == nil || left <= 0 || len(t.hops) >= most || !r.may(t, to) {
 		r.giveUp(t)
 		return
 	}
-	mode := 0
+	// Where fills are late, hits need not be: a look takes what the cache holds
+	// and costs no place for long. What it misses is given up unless a fill has
+	// room by then.
+	mode, kind := 0, fills
+	if to.role == edge && !t.rule.write && r.jammed(t, &to.room[fills]) {
+		if t.looked || r.jammed(t, &to.room[looks]) {
+			r.giveUp(t)
+			return
+		}
+		kind, from, t.looked = looks, to, true
+	}
 	if !t.rule.write {
-		if to.role == edge {
+		if to.role == edge && kind == fills {
 			rank = r.admit(to, t.key)
 			if t.rule.fresh > 0 {
 				mode |= modeRenew
@@ -849,7 +870,8 @@
 	if t.state == clean && !t.taint() {
 		t.firstRun = r.now
 	}
-	t.hops = append(t.hops, hop{server: to, source: from, sent: r.now, out: true, work: work})
+	t.hops = append(t.hops, hop{server: to, source: from, sent: r.now, out: true, kind: kind})
+	to.room[kind].out++
 	if to.out++; to.waiting == 0 {
 		to.waiting = r.now
 	}
@@ -906,6 +928,7 @@
 	for i, h := range t.hops {
 		if h.out {
 			h.server.out--
+			h.server.room[h.kind].out--
 			if r.cancel {
 				r.do(Action{Kind: ActCancel, Txn: t.id, Hop: i})
 			}
@@ -942,6 +965,7 @@
 	}
 	h := &t.hops[e.Hop]
 	h.out = false
+	s.room[h.kind].out--
 	if s.out--; s.out == 0 {
 		s.waiting = 0
 	}
@@ -949,13 +973,15 @@
 		t.rule.works = sample(t.rule.works, e.RTT)
 	}
 	if s.role == edge && e.Code != "ecanceled" && e.Code != "enoent" {
-		r.learn(s, e.Code == "done" && r.now-h.sent <= t.sla())
+		r.learn(&s.room[h.kind], e.Code == "done" && r.now-h.sent <= t.sla())
 	}
 	if e.Final {
 		r.step(t, inFinal)
 		return
 	}
-	t.tried = append(t.tried, s)
+	if h.kind == fills {
+		t.tried = append(t.tried, s)
+	}
 	if e.Note >= 6 && e.Note != 9 && h.source != s {
 		t.tried = append(t.tried, h.source)
 	}
