--- a/logic/logic.go
+++ b/logic/logic.go
@@ -91,8 +91,9 @@
 	clear(k.door[:])
 }
 
-// listCap bounds what a router remembers of one edge cache (the design page's starting value).
-const listCap = 256
+// listCap bounds what a router remembers of one edge cache. Lists of 256 or 128 never filled or hardly, so
+// nothing was passed through; 32 kept too little (simulated, all deployments).
+const listCap = 64
 
 // recent lists the objects that a cache was asked to keep, latest last.
 type recent []uint64
