--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,270 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestSketchCountsAndHalves(t *testing.T) {
+	k, h := new(sketch), hash("x")
+	for i, want := range []uint64{1, 2, 3, 4} {
+		if k.count(h); k.estimate(h) != want {
+			t.Fatalf("after %d: estimate %d, want %d", i+1, k.estimate(h), want)
+		}
+	}
+	for range 50 {
+		k.count(h)
+	}
+	if got := k.estimate(h); got != counterTop+1 {
+		t.Fatalf("estimate %d, want the top and one for the doorkeeper", got)
+	}
+	k.halve()
+	if got := k.estimate(h); got != counterTop/2 || k.sample != 27 {
+		t.Fatalf("halved: estimate %d, sample %d", got, k.sample)
+	}
+}
+
+func TestAdmitAgainstTail(t *testing.T) {
+	r := router(nil)
+	s := r.servers[cacheA]
+	for i := range listCap {
+		if r.admit(s, uint64(i)) != 2 {
+			t.Fatal("not kept although the list has room")
+		}
+	}
+	if r.admit(s, 1000) != 0 || len(s.kept) != listCap {
+		t.Fatal("kept although its estimate does not beat the tail's")
+	}
+	r.sketch.count(1000)
+	if r.admit(s, 1000) != 2 || s.kept[0] != 1 || s.kept[listCap-1] != 1000 {
+		t.Fatal("not kept although its estimate beats the tail's")
+	}
+	if r.admit(s, 5) != 2 || s.kept[listCap-1] != 5 || len(s.kept) != listCap {
+		t.Fatal("a listed object does not move to the head")
+	}
+}
+
+func TestCountHalvesSketch(t *testing.T) {
+	r := router(nil)
+	r.sketch.sample = r.sampleN - 1
+	r.Handle(begin, request("read"), nil)
+	if r.sketch.sample != r.sampleN/2 {
+		t.Fatalf("sample %d after reaching %d", r.sketch.sample, r.sampleN)
+	}
+}
+
+func TestWritePassesUncounted(t *testing.T) {
+	r := router(nil)
+	a := only(t, r.Handle(begin, request("once"), nil), ActGet)
+	if a.Server != root || a.Rank != 0 || r.sketch.sample != 0 {
+		t.Fatalf("write sent as %+v, sample %d", a, r.sketch.sample)
+	}
+}
+
+// One row for each way a hop may end, for each effect: what follows at once.
+func TestHopEnds(t *testing.T) {
+	const hopAgain, abort, reject, held = ActGet, ActAbort, ActReject, ActTimer
+	for _, c := range []struct {
+		rule, code string
+		want       ActionKind
+	}{
+		{"read", "busy", hopAgain}, {"read", "err", hopAgain}, {"read", "etimedout", hopAgain},
+		{"read", "econnrefused", hopAgain}, {"read", "econnreset", hopAgain}, {"read", "enoent", hopAgain},
+		{"read", "skipped", hopAgain}, {"read", "ecanceled", hopAgain},
+		{"keyed", "busy", held}, {"keyed", "err", held}, {"keyed", "etimedout", held},
+		{"keyed", "econnrefused", held}, {"keyed", "econnreset", held}, {"keyed", "skipped", held},
+		{"zoned", "busy", hopAgain}, {"zoned", "econnreset", hopAgain},
+		{"once", "busy", held}, {"once", "econnrefused", held}, {"once", "enoent", held}, {"once", "skipped", held},
+		{"once", "err", abort}, {"once", "etimedout", abort}, {"once", "econnreset", abort}, {"once", "ecanceled", abort},
+	} {
+		t.Run(c.rule+" "+c.code, func(t *testing.T) {
+			r := router(nil)
+			sent := only(t, r.Handle(begin, request(c.rule), nil), ActGet)
+			acts := r.Handle(begin+100*ms, Event{Kind: EvAnswer, Txn: "t", Server: sent.Server, Code: c.code}, nil)
+			if c.want == held {
+				none(t, acts, hopAgain, abort, reject)
+				if r.txns["t"].due == 0 {
+					t.Fatal("not held for another hop")
+				}
+				return
+			}
+			only(t, acts, c.want)
+		})
+	}
+}
+
+func TestKeyedOnlyInsideItsWindow(t *testing.T) {
+	r := router(nil)
+	sent := only(t, r.Handle(begin, request("keyed"), nil), ActGet)
+	r.Handle(begin+1990*ms, Event{Kind: EvAnswer, Txn: "t", Server: sent.Server, Code: "etimedout"}, nil)
+	acts := r.Handle(begin+2060*ms, Event{Kind: EvTimer, Token: 1}, nil)
+	none(t, acts, ActGet)
+	only(t, acts, ActReject)
+}
+
+func TestKeyedZoneIsNeverRejectedOnceItMayHaveRun(t *testing.T) {
+	r := router(nil)
+	r.servers[cacheA].listed = false
+	sent := only(t, r.Handle(begin, request("zoned"), nil), ActGet)
+	r.servers[cacheB].listed = false
+	only(t, r.Handle(begin+sec, Event{Kind: EvAnswer, Txn: "t", Server: sent.Server, Code: "err"}, nil), ActAbort)
+}
+
+func TestAnswerAtTheTimeLimitIsFinal(t *testing.T) {
+	r := router(nil)
+	sent := only(t, r.Handle(begin, request("read"), nil), ActGet)
+	acts := r.Handle(begin+3*sec, Event{Kind: EvAnswer, Txn: "t", Server: sent.Server, Code: "etimedout"}, nil)
+	only(t, acts, ActAbort)
+	none(t, r.Handle(begin+3*sec, Event{Kind: EvAnswer, Txn: "t", Server: sent.Server, Code: "etimedout"}, nil),
+		ActAbort, ActReject, ActGet)
+}
+
+// A held write once ended after its time limit: its pause outlasted the txn.
+func TestHeldWriteEndsBeforeItsTimeLimit(t *testing.T) {
+	r := router(nil)
+	sent := only(t, r.Handle(begin, request("once"), nil), ActGet)
+	acts := r.Handle(begin+3*sec-100*ms, Event{Kind: EvAnswer, Txn: "t", Server: sent.Server, Code: "busy"}, nil)
+	only(t, acts, ActReject)
+}
+
+func TestDrainedServersGetNothing(t *testing.T) {
+	r := router(nil)
+	gone := []Entry{entries()[0], entries()[2]}
+	gone[0].State, gone[1].State = "leaving", "left"
+	r.Handle(begin, Event{Kind: EvDiscovery, Scope: "diff", Entries: gone}, nil)
+	for i := range 20 {
+		e := request("read")
+		e.Txn, e.Object = fmt.Sprint(i), fmt.Sprint(i)
+		if a := only(t, r.Handle(begin, e, nil), ActGet); a.Server != cacheB || a.Source != root {
+			t.Fatalf("sent to %s from %s", a.Server, a.Source)
+		}
+	}
+}
+
+func TestColdServersStayInsideTheirBudget(t *testing.T) {
+	for _, id := range []string{cacheA, par} {
+		r := router(nil)
+		s := r.servers[id]
+		c := r.cold[s.role]
+		s.born = begin
+		sent := int64(0)
+		for i := range 400 {
+			now := begin + int64(i)*ms
+			if !r.affords(s, 50*ms) {
+				break
+			}
+			r.now = now
+			r.charge(s, 50*ms)
+			sent += 50 * ms
+		}
+		if most := c.multiple * s.weight * (c.from + 0.1) * float64(sec) / c.routers; sent == 0 || float64(sent) > most {
+			t.Fatalf("%s: sent %d, the budget is %.0f", id, sent, most)
+		}
+	}
+}
+
+func TestPurgesBoundTheAge(t *testing.T) {
+	r := router(nil)
+	r.Handle(begin, Event{Kind: EvPurge, Group: 7, Age: 40 * ms}, nil)
+	a := only(t, r.Handle(begin+60*ms, request("read"), nil), ActGet)
+	if a.Age <= 0 || a.Age >= 100*ms {
+		t.Fatalf("age %d after a purge 100 ms ago", a.Age)
+	}
+	r.Handle(begin, Event{Kind: EvPurge, Object: "x", Group: 7}, nil)
+	if a := r.age(&txn{object: "x", rule: &rule{}}); a != 1 {
+		t.Fatalf("age %d after a purge of the object", a)
+	}
+	r.now = begin + 7*sec
+	if a := r.age(&txn{object: "x", group: 7, rule: &rule{}}); a != 0 {
+		t.Fatalf("age %d long after the purge", a)
+	}
+}
+
+// Slow fills behind a cache were once taken for its silence.
+func TestSilenceNeedsSeveralHops(t *testing.T) {
+	r := router(nil)
+	s := &server{out: 2, waiting: begin}
+	r.now = begin + 5*sec
+	if r.silent(s) {
+		t.Fatal("two hops out pass for silence")
+	}
+	if s.out = 3; !r.silent(s) {
+		t.Fatal("three unheard hops do not pass for silence")
+	}
+}
+
+func TestHealthNeedsTwoBadSigns(t *testing.T) {
+	r := router(nil)
+	s := r.servers[cacheA]
+	r.judge(s, signBad)
+	if s.health != doubt {
+		t.Fatal("one bad sign does not raise doubt")
+	}
+	if r.judge(s, signBad); s.health != down || r.usable(s, 1) {
+		t.Fatal("two bad signs do not rest a server")
+	}
+	r.now = s.due
+	if r.judge(s, signDue); s.health != trial || !r.usable(s, 1) {
+		t.Fatal("no trial after the rest")
+	}
+	if r.judge(s, signGood); s.health != up {
+		t.Fatal("not back after a good sign")
+	}
+}
+
+// Hops once piled up until every answer was late and nothing recovered.
+func TestLimitFollowsLateAnswers(t *testing.T) {
+	r := router(nil)
+	r.now = begin
+	m := &room{out: 20, limit: 20}
+	for range 3 {
+		r.learn(m, false)
+	}
+	if m.limit != 20 {
+		t.Fatal("cut before a quarter of the last answers were late")
+	}
+	if r.learn(m, false); m.limit >= 20 {
+		t.Fatal("not cut after four late answers")
+	}
+	low := m.limit
+	if r.learn(m, true); m.limit <= low {
+		t.Fatal("not raised by a timely answer")
+	}
+}
+
+func TestPoorestIsShedFirst(t *testing.T) {
+	r := router(nil)
+	r.values = []float64{1, 2, 3, 4}
+	m := &room{out: 10, limit: 10}
+	if !r.jammed(&txn{value: 1}, m) || r.jammed(&txn{value: 4}, m) {
+		t.Fatal("at the limit the poorest is to go and the best to stay")
+	}
+}
+
+// At a jammed cache a hit is still to be had; a miss is given up at once.
+func TestLookAtAJammedCache(t *testing.T) {
+	r := router(nil)
+	for _, id := range []string{cacheA, cacheB} {
+		r.servers[id].room[fills] = room{out: 5, limit: 2}
+	}
+	a := only(t, r.Handle(begin, request("read"), nil), ActGet)
+	if a.Source != a.Server || a.Rank != 0 {
+		t.Fatalf("not a look: %+v", a)
+	}
+	acts := r.Handle(begin+ms, Event{Kind: EvAnswer, Txn: "t", Server: a.Server, Code: "enoent"}, nil)
+	if only(t, acts, ActReject).Stay == 0 {
+		t.Fatal("no time to come back")
+	}
+}
+
+func TestLateEventsAreIgnored(t *testing.T) {
+	r := router(nil)
+	only(t, r.Handle(begin, request("read"), nil), ActGet)
+	r.Handle(begin+ms, Event{Kind: EvAbandoned, Txn: "t"}, nil)
+	for _, e := range []Event{
+		{Kind: EvAnswer, Txn: "t", Server: cacheA, Code: "err"}, {Kind: EvStarted, Txn: "t", Server: cacheA},
+		{Kind: EvAbandoned, Txn: "t"}, {Kind: EvAnswer, Txn: "t", Server: "nobody:1", Code: "done"},
+	} {
+		none(t, r.Handle(begin+2*ms, e, nil), ActGet, ActAbort, ActReject)
+	}
+}
