--- a/logic/logic.go
+++ b/logic/logic.go
@@ -382,23 +382,30 @@
 // round. It answers whatever makes a cache late: its link, its cores, slow
 // fills. It harms where answers are late for a cause that fewer hops don't mend.
 func (r *Router) learn(m *room, timely bool) {
-	const least, cut, round, few = 2, 0.85, 200 * ms, 4
-	m.late = sample(m.late, !timely)
-	late := 0
-	for _, l := range m.late[max(0, len(m.late)-4*few):] {
-		if l {
-			late++
-		}
+	const least, cut, round = 2, 0.85, 200 * ms
+	if m.late = append(m.late, !timely); len(m.late) > 16 {
+		m.late = slices.Delete(m.late, 0, 1)
 	}
 	switch {
 	case timely && m.out >= m.limit/2:
 		m.limit += 1 / m.limit
-	case !timely && late >= few && r.now-m.cutAt > round:
+	case !timely && m.trouble() && r.now-m.cutAt > round:
 		m.cutAt = r.now
 		m.limit = max(min(m.limit, m.out)*cut, least)
 	}
 }
 
+// trouble tells whether over a quarter of the last answers were late or refused.
+func (m *room) trouble() bool {
+	late := 0
+	for _, l := range m.late {
+		if l {
+			late++
+		}
+	}
+	return late > 4
+}
+
 // jammed tells whether a cache has no room for the txn. What earns least for
 // its sending time is shed first: the poorest at half the limit, the best at
 // half above it.
@@ -572,7 +579,7 @@
 	origin  *server
 	rules   map[string]*rule
 	txns    map[string]*txn
-	open    []*txn
+	open    []*txn    // in order of arrival; closed ones leave at the next sweep
 	values  []float64 // importance for sending time of the last txns
 	purges  []purge
 	ticking bool
@@ -936,7 +943,6 @@
 		}
 	}
 	delete(r.txns, t.id)
-	r.open = slices.DeleteFunc(r.open, func(o *txn) bool { return o == t })
 }
 
 // outcomes turns a hop's end into what it means for the txn and its server.
@@ -1013,7 +1019,8 @@
 			s.waiting = r.now
 		}
 	}
-	for _, t := range slices.Clone(r.open) {
+	r.open = slices.DeleteFunc(r.open, func(t *txn) bool { return t.state == closed })
+	for _, t := range r.open {
 		last := len(t.hops) - 1
 		switch {
 		case t.due > 0 && r.now >= t.due:
