--- a/logic/logic.go
+++ b/logic/logic.go
@@ -395,7 +395,7 @@
 	}
 }
 
-// trouble tells whether over a quarter of the last answers were late or refused.
+// trouble tells whether a quarter of the last answers were late or refused.
 func (m *room) trouble() bool {
 	late := 0
 	for _, l := range m.late {
@@ -403,7 +403,7 @@
 			late++
 		}
 	}
-	return late > 4
+	return late >= 4
 }
 
 // jammed tells whether a cache has no room for the txn. What earns least for
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -217,14 +217,14 @@
 	r := router(nil)
 	r.now = begin
 	m := &room{out: 20, limit: 20}
-	for range 4 {
+	for range 3 {
 		r.learn(m, false)
 	}
 	if m.limit != 20 {
 		t.Fatal("cut before a quarter of the last answers were late")
 	}
 	if r.learn(m, false); m.limit >= 20 {
-		t.Fatal("not cut after five late answers")
+		t.Fatal("not cut after four late answers")
 	}
 	low := m.limit
 	if r.learn(m, true); m.limit <= low {
