Rest a parent whose fills are late while those of others are not

How told: fills from one source timed out, looks and the other parents' fills did not. A hop is now late as soon as its SLA time has passed; a parent with half of its last 16 fills late, over twice the share of the others, rests beside another that is up, and its stuck hops go again. Should also guard against limping parents and cut links; harms where one parent alone has slow objects.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -95,21 +95,12 @@
 // nothing was passed through; 32 kept too little (simulated, all deployments).
 const listCap = 64
 
-// recent lists the objects that a cache was asked to keep, latest last.
-type recent []uint64
-
-func (l *recent) drop(h uint64) bool {
-	i := slices.Index(*l, h)
-	if i >= 0 {
-		*l = slices.Delete(*l, i, i+1)
-	}
-	return i >= 0
-}
-
 // admit is the design's rule: the rank at which a cache shall keep the object.
 func (r *Router) admit(s *server, h uint64) int {
 	const middle = 2
-	if !s.kept.drop(h) && len(s.kept) >= listCap {
+	if i := slices.Index(s.kept, h); i >= 0 {
+		s.kept = slices.Delete(s.kept, i, i+1)
+	} else if len(s.kept) >= listCap {
 		if r.sketch.estimate(h) <= r.sketch.estimate(s.kept[0]) {
 			return 0
 		}
@@ -133,27 +124,16 @@
 	return h ^ h>>32
 }
 
-// pcg is the permuted congruential generator of an instance.
-type pcg uint64
-
-func (p *pcg) next(n uint64) uint64 {
-	old := uint64(*p)
-	*p = pcg(old*6364136223846793005 + 1442695040888963407)
-	x := uint32((old>>18 ^ old) >> 27)
-	rot := old >> 59
-	return uint64(x>>rot|x<<(-rot&31)) % n
-}
-
 // ---- Servers and their health ----
 
 type health uint8
 
 const (
-	up health = iota
+	up health = 1 << iota
 	doubt
 	down
 	trial
-	healthy // table only: any state
+	always = up | doubt | down | trial
 )
 
 type sign uint8
@@ -162,6 +142,7 @@
 	signGood   sign = iota // it answered, whatever it said
 	signBad                // refused, broke off or let a probe run out
 	signSilent             // said nothing for far longer than it used to
+	signLate               // its fills are late, those of others are not
 	signDue                // its time away is over
 	signBorn               // the list tells of a new start
 	signNone               // tells nothing of the server
@@ -179,20 +160,18 @@
 }{
 	{up, signBad, doubt, nil},
 	{up, signSilent, doubt, (*Router).ask},
-	{doubt, signGood, up, nil},
-	{doubt, signBad, down, (*Router).rest},
-	{doubt, signSilent, down, (*Router).rest},
+	{doubt | trial, signBad, down, (*Router).broke},
+	{doubt | trial, signSilent, down, (*Router).rest},
+	{up | doubt | trial, signLate, down, (*Router).rest},
 	{down, signDue, trial, (*Router).ask},
-	{down, signGood, up, (*Router).back},
-	{trial, signGood, up, (*Router).back},
-	{trial, signBad, down, (*Router).rest},
-	{trial, signSilent, down, (*Router).rest},
-	{healthy, signBorn, up, (*Router).reborn},
+	{doubt, signGood, up, nil},
+	{down | trial, signGood, up, (*Router).back},
+	{always, signBorn, up, (*Router).reborn},
 }
 
 func (r *Router) judge(s *server, sign sign) {
 	for _, row := range healthTable {
-		if (row.in == s.health || row.in == healthy) && row.sign == sign {
+		if s != nil && row.in&s.health != 0 && row.sign == sign {
 			s.health = row.next
 			if row.do != nil {
 				row.do(r, s)
@@ -216,15 +195,15 @@
 	listed  bool
 	out     int   // hops out
 	waiting int64 // since when the longest silence with hops out runs
-	gaps    []int64
 	health  health
 	downAt  int64
 	due     int64
 	rests   int64
 	spent   []spend
-	sourced []bool // of a source: whether the last hops that named it were late or failed for it
-	kept    recent
-	room    [2]room // for hops that may fill, and for looks
+	late    []bool // of a source: the last fills that named it
+	broke   bool
+	kept    []uint64 // objects it was asked to keep, by recency, latest last
+	room    [2]room  // for hops that may fill, and for looks
 }
 
 type role uint8
@@ -243,10 +222,16 @@
 	if s.rests == 0 {
 		s.downAt = r.now
 	}
+	s.late = nil
 	s.due = r.now + min(restFirst<<s.rests, restMost)
 	s.rests = min(s.rests+1, 8)
 }
 
+func (r *Router) broke(s *server) {
+	s.broke = true
+	r.rest(s)
+}
+
 // ask probes where that is allowed; else the next hop tells.
 func (r *Router) ask(s *server) {
 	if r.canProbe {
@@ -254,21 +239,21 @@
 	}
 }
 
-// back welcomes a server that was away. One that was away for as long as a
-// restart takes is held for cold although the list has not told it yet.
+// back welcomes a server that was away. One that broke off and was away for as
+// long as a restart takes is held for cold although the list has not told it yet.
 func (r *Router) back(s *server) {
 	const restart = 2 * sec
-	if r.now-s.downAt > restart {
+	if s.broke && r.now-s.downAt > restart {
 		s.born = max(s.born, r.now)
 	}
 	s.rests = 0
-	s.sourced = s.sourced[:0]
+	s.broke = false
 }
 
 // reborn forgets what a restarted server was known by: it comes empty, so a
 // full list would refuse newcomers (the design page's third doubt).
 func (r *Router) reborn(s *server) {
-	s.rests, s.kept, s.sourced, s.gaps = 0, nil, nil, nil
+	s.rests, s.kept, s.late = 0, nil, nil
 }
 
 // keepSamples bounds each list of samples: enough for a tail, few enough to forget in seconds.
@@ -292,32 +277,45 @@
 	return sum / int64(len(list))
 }
 
-// heard notes an answer, and how long it had been awaited.
+// heard notes that a server said something, whatever it was.
 func (r *Router) heard(s *server) {
-	if s.waiting > 0 {
-		s.gaps = sample(s.gaps, r.now-s.waiting)
-	}
 	s.waiting = 0
 	if s.out > 0 {
 		s.waiting = r.now
 	}
 }
 
-// silent tells whether a server has left several hops, one after the other,
-// without a word for twice as long as it ever took lately. It answers any
-// cause: a lost machine, a cut link, a long stall. It harms where answers are
-// few and sizes differ much, hence the count and the floor; a probe settles
-// it where there is one. The ceiling is what clients bear.
+// silent tells whether a server has left several hops without a word for far
+// longer than its answers should take. It answers any cause: a lost machine, a
+// cut link, a long stall. It harms where answers are few and all of them slow,
+// hence the count; a probe settles it where there is one.
 func (r *Router) silent(s *server) bool {
-	const floor, ceiling, unheard = 600 * ms, 2500 * ms, 3
-	if s.waiting == 0 || s.out < unheard {
-		return false
+	const unheard = 3
+	return s.out >= unheard && r.now-s.waiting > r.quiet
+}
+
+// supplied notes whether a fill that named a source came in time. A source is
+// late when at least half of its last fills were and twice the share of
+// all other sources: misses behind a lost or limping parent hang while hits
+// go on, and a slow origin makes all parents late alike. It harms where one
+// parent alone has the objects that are slow to make.
+func (r *Router) supplied(s *server, timely bool) {
+	if s.role != parent {
+		return
+	}
+	s.late = sample(s.late, !timely)
+	own, all := lateOf(s.late)
+	others, n, spare := 0, 0, false
+	for _, p := range r.order {
+		if p.role == parent && p != s {
+			l, a := lateOf(p.late)
+			others, n = others+l, n+a
+			spare = spare || p.listed && p.health == up
+		}
 	}
-	limit := ceiling
-	if len(s.gaps) > keepSamples/4 {
-		limit = min(max(2*slices.Max(s.gaps), floor), ceiling)
+	if spare && 2*own >= window && own*n > 2*others*all {
+		r.judge(s, signLate)
 	}
-	return r.now-s.waiting > limit
 }
 
 // ---- Budgets for cold servers ----
@@ -345,11 +343,8 @@
 }
 
 func (r *Router) charge(s *server, work int64) {
-	i := 0
-	for i < len(s.spent) && s.spent[i].at <= r.now-r.fallFor {
-		i++
-	}
-	s.spent = append(slices.Delete(s.spent, 0, i), spend{r.now, work})
+	s.spent = slices.DeleteFunc(s.spent, func(p spend) bool { return p.at <= r.now-r.fallFor })
+	s.spent = append(s.spent, spend{r.now, work})
 }
 
 // ---- Overload ----
@@ -383,27 +378,29 @@
 // fills. It harms where answers are late for a cause that fewer hops don't mend.
 func (r *Router) learn(m *room, timely bool) {
 	const least, cut, round = 2, 0.85, 200 * ms
-	if m.late = append(m.late, !timely); len(m.late) > 16 {
-		m.late = slices.Delete(m.late, 0, 1)
-	}
+	m.late = sample(m.late, !timely)
+	late, _ := lateOf(m.late)
 	switch {
 	case timely && m.out >= m.limit/2:
 		m.limit += 1 / m.limit
-	case !timely && m.trouble() && r.now-m.cutAt > round:
+	case !timely && 4*late >= window && r.now-m.cutAt > round:
 		m.cutAt = r.now
 		m.limit = max(min(m.limit, m.out)*cut, least)
 	}
 }
 
-// trouble tells whether a quarter of the last answers were late or refused.
-func (m *room) trouble() bool {
-	late := 0
-	for _, l := range m.late {
+// window is how many of the last hops a share is taken of: enough that a
+// quarter is no chance, few enough to turn within a second.
+const window = 16
+
+func lateOf(list []bool) (late, all int) {
+	list = list[max(0, len(list)-window):]
+	for _, l := range list {
 		if l {
 			late++
 		}
 	}
-	return late >= 4
+	return late, len(list)
 }
 
 // jammed tells whether a cache has no room for the txn. What earns least for
@@ -426,10 +423,11 @@
 type state uint8
 
 const (
-	clean     state = iota // no hop may have run
-	tainted                // an earlier hop may have run
-	streaming              // the answer has begun
+	clean     state = 1 << iota // no hop that ended may have run
+	tainted                     // one may have
+	streaming                   // the answer has begun
 	closed
+	choosing = clean | tainted
 )
 
 type input uint8
@@ -447,7 +445,7 @@
 type txnRow struct {
 	in   state
 	what input
-	next state
+	next state // 0: the same
 	do   func(*Router, *txn)
 }
 
@@ -456,27 +454,22 @@
 // The table is filled here, since its effects lead back to it.
 func init() {
 	txnTable = []txnRow{
-		{clean, inArrive, clean, (*Router).hop},
-		{clean, inUnrun, clean, (*Router).again},
-		{clean, inMaybe, tainted, (*Router).again},
-		{clean, inLost, clean, (*Router).double},
-		{clean, inDue, clean, (*Router).hop},
-		{clean, inStarted, streaming, nil},
-		{clean, inFinal, closed, (*Router).forget},
-		{tainted, inUnrun, tainted, (*Router).again},
-		{tainted, inMaybe, tainted, (*Router).again},
-		{tainted, inLost, tainted, (*Router).double},
-		{tainted, inDue, tainted, (*Router).hop},
-		{tainted, inStarted, streaming, nil},
-		{tainted, inFinal, closed, (*Router).forget},
-		{streaming, inFinal, closed, (*Router).forget},
+		{clean, inArrive, 0, (*Router).hop},
+		{choosing, inUnrun, 0, (*Router).again},
+		{choosing, inMaybe, tainted, (*Router).again},
+		{choosing, inLost, 0, (*Router).double},
+		{choosing, inDue, 0, (*Router).hop},
+		{choosing, inStarted, streaming, nil},
+		{choosing | streaming, inFinal, closed, (*Router).forget},
 	}
 }
 
 func (r *Router) step(t *txn, what input) {
 	for _, row := range txnTable {
-		if row.in == t.state && row.what == what {
-			t.state = row.next
+		if t != nil && row.in&t.state != 0 && row.what == what {
+			if row.next != 0 {
+				t.state = row.next
+			}
 			if row.do != nil {
 				row.do(r, t)
 			}
@@ -495,24 +488,22 @@
 	unrepeatable
 )
 
-// mayTable says what rule 2 leaves once a hop may have run or is still out:
-// another hop (within the group and its window, where keyed), a rejection.
-var mayTable = []struct {
-	effect               effect
-	again, reject, timed bool
-	group                func(a, b *server) bool
-}{
-	{repeatable, true, true, false, func(_, _ *server) bool { return true }},
-	{keyedAll, true, true, true, func(_, _ *server) bool { return true }},
-	{keyedZone, true, false, true, func(a, b *server) bool { return a.zone == b.zone }},
-	{keyedCell, true, false, true, func(a, b *server) bool { return a.zone == b.zone && a.cell == b.cell }},
-	{unrepeatable, false, false, false, nil},
+// mayTable says what rule 2 leaves, by effect, once a hop may have run or is
+// still out: another hop, within the window and group where there is one; a
+// rejection.
+var mayTable = []struct{ again, reject, timed, zone, cell bool }{
+	repeatable:   {again: true, reject: true},
+	keyedAll:     {again: true, reject: true, timed: true},
+	keyedZone:    {again: true, timed: true, zone: true},
+	keyedCell:    {again: true, timed: true, zone: true, cell: true},
+	unrepeatable: {},
 }
 
 type hop struct {
 	server, source *server
 	sent           int64
 	out, lost      bool
+	overdue        bool
 	kind           int
 }
 
@@ -524,7 +515,6 @@
 	group    int64
 	work     int64 // sending time, where the size is told
 	value    float64
-	arrived  int64
 	deadline int64
 	looked   bool
 	state    state
@@ -535,14 +525,14 @@
 }
 
 type rule struct {
-	effect       effect
-	window       int64
-	sla          int64
-	stretch      float64
-	fresh, grace int64
-	write        bool
-	importance   float64
-	works        []int64 // sending times of the last txns
+	effect     effect
+	window     int64
+	sla        int64
+	stretch    float64
+	fresh      int64
+	write      bool
+	importance float64
+	works      []int64 // sending times of the last txns
 }
 
 // taint tells whether rule 2 binds now: a hop may have run or is out.
@@ -557,7 +547,8 @@
 	}
 	m := &mayTable[t.rule.effect]
 	first := t.hops[slices.IndexFunc(t.hops, func(h hop) bool { return h.sent == t.firstRun })].server
-	return m.again && (!m.timed || r.now-t.firstRun < t.rule.window) && m.group(first, s)
+	return m.again && (!m.timed || r.now-t.firstRun < t.rule.window) &&
+		(!m.zone || s.zone == first.zone) && (!m.cell || s.cell == first.cell)
 }
 
 // ---- The router ----
@@ -571,7 +562,6 @@
 type Router struct {
 	now     int64
 	out     []Action
-	rand    pcg
 	sketch  sketch
 	sampleN int
 	servers map[string]*server
@@ -590,6 +580,7 @@
 	kinds                                 map[string]role
 	cold                                  [3]cold
 	fallFor                               int64
+	quiet                                 int64   // how long a server may say nothing with hops out
 	flow                                  float64 // KB in a microsecond
 	purgeDone                             int64
 	stay                                  int64
@@ -605,10 +596,10 @@
 }
 
 // New starts an instance: the settings become the figures that decisions use.
-func New(set Settings, seed uint64) *Router {
+func New(set Settings, _ uint64) *Router {
 	c, f, l := &set.Contract, &set.Family, &set.Limits
 	r := &Router{
-		rand: pcg(seed), servers: map[string]*server{}, rules: map[string]*rule{}, txns: map[string]*txn{},
+		servers: map[string]*server{}, rules: map[string]*rule{}, txns: map[string]*txn{},
 		zone: set.Zone, kinds: map[string]role{}, fallFor: c.FallFor, flow: f.FlowKBPerS / float64(sec),
 		purgeDone: f.PurgeDone, maxHops: max(l.MaxHops, 1), direct: f.Direct, joins: f.Joins,
 		canProbe: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, pull: set.Discovery == "ask",
@@ -616,11 +607,8 @@
 	if l.RetryAfter {
 		r.stay = l.MaxRetryAfter
 	}
-	if f.ParentKind >= 0 && f.ParentKind < len(set.Kinds) {
-		r.kinds[set.Kinds[f.ParentKind]] = parent
-	}
-	if f.OriginKind >= 0 && f.OriginKind < len(set.Kinds) {
-		r.kinds[set.Kinds[f.OriginKind]] = origin
+	for i, name := range set.Kinds {
+		r.kinds[name] = map[int]role{f.ParentKind: parent, f.OriginKind: origin}[i]
 	}
 	near := max(set.Siblings, 1)
 	if i := slices.Index(set.Zones, set.Zone); i >= 0 && i < len(f.ZoneBalancers) && f.ZoneBalancers[i] > 0 {
@@ -628,22 +616,16 @@
 	}
 	r.cold[edge] = cold{c.ColdFrom, c.FallMultiple, float64(near), c.ColdFor}
 	r.cold[parent] = cold{f.ParentColdFrom, f.ParentFallMultiple, float64(max(set.Siblings, 1)), f.ParentColdFor}
+	effects := map[string]effect{"keyed": keyedAll, "keyedzone": keyedZone, "keyedcell": keyedCell,
+		"unsafe": unrepeatable}
 	for _, k := range set.Rules {
-		e := repeatable
-		switch k.Effect + " " + k.Group {
-		case "keyed zone":
-			e = keyedZone
-		case "keyed cell":
-			e = keyedCell
-		case "keyed all", "keyed ":
-			e = keyedAll
-		default:
-			if k.Effect == "unsafe" {
-				e = unrepeatable
-			}
+		e, known := effects[k.Effect+k.Group]
+		if !known {
+			e = effects[k.Effect] // the group is all, or tells nothing
 		}
+		r.quiet = max(r.quiet, 3*k.SLA/2) // a rule's whole SLA time and half of it again
 		r.rules[k.Name] = &rule{effect: e, window: k.Window, sla: k.SLA, stretch: k.Stretch,
-			fresh: k.Fresh, grace: k.Grace, write: k.Write, importance: k.Importance}
+			fresh: k.Fresh, write: k.Write, importance: k.Importance}
 	}
 	return r
 }
@@ -651,32 +633,27 @@
 // Handle takes one event at the given time and appends the actions to out.
 func (r *Router) Handle(now int64, e Event, out []Action) []Action {
 	r.now, r.out = now, out
+	s, t := r.servers[e.Server], r.txns[e.Txn] // nil where unknown or closed
 	switch e.Kind {
 	case EvDiscovery:
 		r.discover(e)
 	case EvTxn:
 		r.arrive(e)
 	case EvAnswer:
-		r.answer(e)
+		r.answer(e, s, t)
 	case EvStarted:
-		if t := r.txns[e.Txn]; t != nil {
-			if s := r.servers[e.Server]; s != nil {
-				r.heard(s)
-				r.judge(s, signGood)
-			}
-			r.step(t, inStarted)
+		if s != nil {
+			r.heard(s)
+			r.judge(s, signGood)
 		}
+		r.step(t, inStarted)
 	case EvAbandoned:
-		if t := r.txns[e.Txn]; t != nil {
-			r.step(t, inFinal)
-		}
+		r.step(t, inFinal)
 	case EvHealth:
-		if s := r.servers[e.Server]; s != nil {
-			if e.Code == "done" {
-				r.judge(s, signGood)
-			} else {
-				r.judge(s, signBad)
-			}
+		if e.Code == "done" {
+			r.judge(s, signGood)
+		} else {
+			r.judge(s, signBad)
 		}
 	case EvPurge:
 		r.purges = append(r.purges, purge{e.Object, e.Group, now - e.Age})
@@ -719,14 +696,15 @@
 	for _, n := range e.Entries {
 		s := r.servers[n.Server]
 		if s == nil {
-			s = &server{id: n.Server, hash: hash(n.Server), born: n.Born}
+			s = &server{id: n.Server, hash: hash(n.Server), born: n.Born, health: up}
 			r.servers[n.Server] = s
 			at, _ := slices.BinarySearchFunc(r.order, s, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 			r.order = slices.Insert(r.order, at, s)
 		}
 		for i := range s.room {
 			if s.room[i].limit == 0 {
-				s.room[i].limit = 3 * max(n.Weight, 1) / r.cold[edge].routers // above any use in calm: answers bring it down
+				const start = 3 // above any use in calm: answers bring it down
+				s.room[i].limit = start * max(n.Weight, 1) / r.cold[edge].routers
 			}
 		}
 		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
@@ -749,12 +727,12 @@
 
 func (r *Router) arrive(e Event) {
 	k := r.rules[e.Rule]
-	if k == nil {
+	if k == nil { // never listed: the most careful reading
 		k = &rule{effect: unrepeatable, sla: e.Remaining, write: e.Write}
 		r.rules[e.Rule] = k
 	}
-	t := &txn{id: e.Txn, rule: k, key: hash(e.Object, uint64(e.Part)), object: e.Object, group: e.Group,
-		arrived: r.now, deadline: r.now + e.Remaining}
+	t := &txn{id: e.Txn, state: clean, rule: k, key: hash(e.Object, uint64(e.Part)), object: e.Object,
+		group: e.Group, deadline: r.now + e.Remaining}
 	if e.SizeKB > 0 && r.flow > 0 {
 		t.work = int64(e.SizeKB / r.flow)
 		k.works = sample(k.works, t.work)
@@ -777,7 +755,8 @@
 
 // usable tells whether a server may be sent this txn now or supply it.
 func (r *Router) usable(s *server, work int64) bool {
-	return s.listed && s.health != down && !(s.health == trial && (s.out > 0 || r.canProbe)) && r.affords(s, work)
+	tried := s.health == trial && (s.out > 0 || r.canProbe)
+	return s.listed && s.health != down && !tried && r.affords(s, work)
 }
 
 // pick is rendezvous hashing: the usable server of greatest weight for the
@@ -787,7 +766,7 @@
 	var top uint64
 	failed := true
 	for _, s := range r.order {
-		if s.role != role || role == edge && s.zone != r.zone || !r.usable(s, work) || !r.may(t, s) && role == edge {
+		if s.role != role || role == edge && (s.zone != r.zone || !r.may(t, s)) || !r.usable(s, work) {
 			continue
 		}
 		f := slices.Contains(t.tried, s)
@@ -809,7 +788,8 @@
 func (r *Router) age(t *txn) int64 {
 	age := t.rule.fresh
 	for _, p := range r.purges {
-		if since := r.now - p.at; since < r.purgeDone+ms && (p.object == t.object || p.object == "" && p.group == t.group) {
+		since := r.now - p.at
+		if since < r.purgeDone+ms && (p.object == t.object || p.object == "" && p.group == t.group) {
 			since = max(since-ms, 1)
 			if age == 0 || since < age {
 				age = since
@@ -887,7 +867,8 @@
 	if from != to {
 		r.charge(from, work)
 	}
-	r.do(Action{Kind: ActGet, Txn: t.id, Server: to.id, Source: from.id, Rank: rank, Age: r.age(t), Cap: left, Mode: mode})
+	r.do(Action{Kind: ActGet, Txn: t.id, Server: to.id, Source: from.id, Rank: rank,
+		Age: r.age(t), Cap: left, Mode: mode})
 }
 
 // again follows a hop that ended without an answer.
@@ -898,7 +879,8 @@
 	if t.rule.write {
 		const pause = 60 * ms // lets a crowded origin breathe; a few fit into a write's SLA time
 		t.due = r.now + pause
-		if t.due+2*tickEvery >= t.deadline || t.taint() && !mayTable[t.rule.effect].again || len(t.hops) >= r.maxHops {
+		barred := t.taint() && !mayTable[t.rule.effect].again
+		if barred || t.due+2*tickEvery >= t.deadline || len(t.hops) >= r.maxHops {
 			r.giveUp(t)
 		}
 		return
@@ -909,15 +891,12 @@
 // double sends a second copy while the first is out, or withdraws the first
 // so that its end brings the next hop.
 func (r *Router) double(t *txn) {
-	if t.rule.effect != repeatable {
-		return
-	}
-	if r.pair && len(t.hops) < r.maxHops {
-		if work := mean(t.rule.works, t.rule.sla); r.pick(t, edge, work) != nil {
-			r.hop(t)
-		}
-	} else if r.cancel {
+	switch {
+	case t.rule.effect != repeatable:
+	case !r.pair && r.cancel:
 		r.do(Action{Kind: ActCancel, Txn: t.id, Hop: len(t.hops) - 1})
+	case r.pair && len(t.hops) < r.maxHops && r.pick(t, edge, mean(t.rule.works, t.rule.sla)) != nil:
+		r.hop(t)
 	}
 }
 
@@ -955,8 +934,7 @@
 	"econnreset": {inMaybe, signBad}, "ecanceled": {inMaybe, signNone}, "skipped": {inUnrun, signNone},
 }
 
-func (r *Router) answer(e Event) {
-	s, t := r.servers[e.Server], r.txns[e.Txn]
+func (r *Router) answer(e Event, s *server, t *txn) {
 	o, known := outcomes[e.Code]
 	if !known || s == nil {
 		return
@@ -979,8 +957,8 @@
 	if e.Code == "done" && t.work == 0 && !t.rule.write {
 		t.rule.works = sample(t.rule.works, e.RTT)
 	}
-	if s.role == edge && e.Code != "ecanceled" && e.Code != "enoent" {
-		r.learn(&s.room[h.kind], e.Code == "done" && r.now-h.sent <= t.sla())
+	if e.Code != "ecanceled" && e.Code != "enoent" {
+		r.ended(t, h, e.Code == "done" && r.now-h.sent <= t.sla())
 	}
 	if e.Final {
 		r.step(t, inFinal)
@@ -995,6 +973,18 @@
 	r.step(t, o.txn)
 }
 
+// ended draws the lessons of a hop, once: at its end or when it is overdue.
+func (r *Router) ended(t *txn, h *hop, timely bool) {
+	if h.overdue || h.server.role != edge || t.rule.write {
+		return
+	}
+	h.overdue = !timely
+	r.learn(&h.server.room[h.kind], timely)
+	if h.kind == fills {
+		r.supplied(h.source, timely)
+	}
+}
+
 // sweep does what time brings.
 func (r *Router) sweep() {
 	const halveEvery = 10 * sec // the design page's starting value
@@ -1021,14 +1011,23 @@
 	}
 	r.open = slices.DeleteFunc(r.open, func(t *txn) bool { return t.state == closed })
 	for _, t := range r.open {
-		last := len(t.hops) - 1
-		switch {
-		case t.due > 0 && r.now >= t.due:
+		if t.due > 0 && r.now >= t.due {
 			r.step(t, inDue)
-		case last >= 0 && t.hops[last].out && !t.hops[last].lost && t.hops[last].server.health == down:
-			t.hops[last].lost = true
-			t.tried = append(t.tried, t.hops[last].server)
-			r.step(t, inLost)
+			continue
+		}
+		for i := range t.hops {
+			if h := &t.hops[i]; h.out && r.now-h.sent > t.sla() {
+				r.ended(t, h, false)
+			}
+		}
+		if last := len(t.hops) - 1; last >= 0 {
+			h := &t.hops[last]
+			if stuck := h.kind == fills && h.source.health == down && r.now-h.sent > t.rule.sla/2; h.out && !h.lost &&
+				(stuck || h.server.health == down) {
+				h.lost = true
+				t.tried = append(t.tried, h.server)
+				r.step(t, inLost)
+			}
 		}
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -268,3 +268,28 @@
 		none(t, r.Handle(begin+2*ms, e, nil), ActGet, ActAbort, ActReject)
 	}
 }
+
+// A silent parent once held every miss that named it until clients left.
+func TestParentWithLateFillsIsRested(t *testing.T) {
+	r := router(nil)
+	more := entries()[2]
+	more.Server = "q:1"
+	r.Handle(begin, Event{Kind: EvDiscovery, Scope: "diff", Entries: []Entry{more}}, nil)
+	bad, good := r.servers[par], r.servers["q:1"]
+	for range window {
+		r.supplied(good, true)
+	}
+	for range window/2 - 1 {
+		r.supplied(bad, false)
+	}
+	if bad.health != up {
+		t.Fatal("rested before half of its fills were late")
+	}
+	if r.supplied(bad, false); bad.health != down {
+		t.Fatal("not rested although half of its fills were late")
+	}
+	good.late = []bool{true, true, true, true, true, true, true}
+	if r.supplied(good, false); good.health != up {
+		t.Fatal("the last parent up is rested")
+	}
+}
