--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -160,7 +161,7 @@
 }{
 	{up, signBad, doubt, nil},
 	{up, signSilent, doubt, (*Router).ask},
-	{doubt | trial, signBad, down, (*Router).broke},
+	{doubt | trial, signBad, down, (*Router).rest},
 	{doubt | trial, signSilent, down, (*Router).rest},
 	{up | doubt | trial, signLate, down, (*Router).rest},
 	{down, signDue, trial, (*Router).ask},
@@ -185,25 +186,23 @@
 type spend struct{ at, work int64 }
 
 type server struct {
-	id      string
-	hash    uint64
-	role    role
-	zone    string
-	cell    int
-	weight  float64
-	born    int64 // told by the list, or the return that was seen; 0: long past
-	listed  bool
-	out     int   // hops out
-	waiting int64 // since when the longest silence with hops out runs
-	health  health
-	downAt  int64
-	due     int64
-	rests   int64
-	spent   []spend
-	late    []bool // of a source: the last fills that named it
-	broke   bool
-	kept    []uint64 // objects it was asked to keep, by recency, latest last
-	room    [2]room  // for hops that may fill, and for looks
+	id           string
+	hash         uint64
+	role         role
+	zone         string
+	cell         int
+	weight, size float64 // as listed; for the hash
+	born         int64   // 0: long past
+	listed       bool
+	out          int   // hops out
+	waiting      int64 // since when the longest silence with hops out runs
+	health       health
+	due          int64
+	rests        int64
+	spent        []spend
+	late         []bool   // of a source: the last fills that named it
+	kept         []uint64 // objects it was asked to keep, by recency, latest last
+	room         [2]room  // for hops that may fill, and for looks
 }
 
 type role uint8
@@ -219,19 +218,11 @@
 // a silent machine costs one hop in a rest.
 func (r *Router) rest(s *server) {
 	const restFirst, restMost = 1 * sec, 4 * sec
-	if s.rests == 0 {
-		s.downAt = r.now
-	}
 	s.late = nil
 	s.due = r.now + min(restFirst<<s.rests, restMost)
 	s.rests = min(s.rests+1, 8)
 }
 
-func (r *Router) broke(s *server) {
-	s.broke = true
-	r.rest(s)
-}
-
 // ask probes where that is allowed; else the next hop tells.
 func (r *Router) ask(s *server) {
 	if r.canProbe {
@@ -239,16 +230,8 @@
 	}
 }
 
-// back welcomes a server that was away. One that broke off and was away for as
-// long as a restart takes is held for cold although the list has not told it yet.
-func (r *Router) back(s *server) {
-	const restart = 2 * sec
-	if s.broke && r.now-s.downAt > restart {
-		s.born = max(s.born, r.now)
-	}
-	s.rests = 0
-	s.broke = false
-}
+// back welcomes a server that was away.
+func (r *Router) back(s *server) { s.rests = 0 }
 
 // reborn forgets what a restarted server was known by: it comes empty, so a
 // full list would refuse newcomers (the design page's third doubt).
@@ -381,11 +364,11 @@
 	m.late = sample(m.late, !timely)
 	late, _ := lateOf(m.late)
 	switch {
-	case timely && m.out >= m.limit/2:
+	case timely && m.out+1 >= m.limit/2:
 		m.limit += 1 / m.limit
 	case !timely && 4*late >= window && r.now-m.cutAt > round:
 		m.cutAt = r.now
-		m.limit = max(min(m.limit, m.out)*cut, least)
+		m.limit = max(min(m.limit, m.out+1)*cut, least)
 	}
 }
 
@@ -586,7 +569,7 @@
 	stay                                  int64
 	maxHops                               int
 	direct, joins, canProbe, cancel, pair bool
-	pull                                  bool // discovery must be asked
+	pull, live                            bool // discovery must be asked; weights change with load
 }
 
 type purge struct {
@@ -603,6 +586,7 @@
 		zone: set.Zone, kinds: map[string]role{}, fallFor: c.FallFor, flow: f.FlowKBPerS / float64(sec),
 		purgeDone: f.PurgeDone, maxHops: max(l.MaxHops, 1), direct: f.Direct, joins: f.Joins,
 		canProbe: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, pull: set.Discovery == "ask",
+		live: set.WeightKind == "live",
 	}
 	if l.RetryAfter {
 		r.stay = l.MaxRetryAfter
@@ -713,12 +697,15 @@
 			s.born = n.Born
 			r.judge(s, signBorn)
 		}
-		if s.role == origin {
-			r.origin = s
+		if s.size = 1; !r.live {
+			s.size = s.weight // the same at every router
 		}
 	}
-	r.sampleN = 0
+	r.sampleN, r.origin = 0, nil
 	for _, s := range r.order {
+		if s.listed && s.role == origin {
+			r.origin = s
+		}
 		if s.listed && s.role == edge && s.zone == r.zone {
 			r.sampleN += 10 * listCap // the paper's ten times the cache size
 		}
@@ -759,26 +746,37 @@
 	return s.listed && s.health != down && !tried && r.affords(s, work)
 }
 
-// pick is rendezvous hashing: the usable server of greatest weight for the
-// object, those that failed this txn last.
-func (r *Router) pick(t *txn, role role, work int64) *server {
+func anyone(*server) bool { return true }
+
+// idle tells whether a cache has room for the txns of a jammed one: where one
+// cache is short and others are not, a second copy costs less than a rejection.
+// In a jam of all it must not act, since it would scatter what is kept.
+func idle(s *server) bool {
+	late, _ := lateOf(s.room[fills].late)
+	return late == 0 && 3*s.room[fills].out < s.room[fills].limit
+}
+
+// pick is rendezvous hashing, weighted by size: the usable server of greatest
+// score for the object, those that failed this txn last.
+func (r *Router) pick(t *txn, role role, work int64, fit func(*server) bool) *server {
 	var best *server
-	var top uint64
+	var top float64
 	failed := true
 	for _, s := range r.order {
-		if s.role != role || role == edge && (s.zone != r.zone || !r.may(t, s)) || !r.usable(s, work) {
+		if s.role != role || role == edge && (s.zone != r.zone || !r.may(t, s)) || !r.usable(s, work) || !fit(s) {
 			continue
 		}
 		f := slices.Contains(t.tried, s)
-		if w := hash("", t.key, s.hash); best == nil || failed && !f || f == failed && w > top {
-			best, top, failed = s, w, f
+		score := -s.size / math.Log(float64(hash("", t.key, s.hash)>>11+1)/(1<<53+1))
+		if best == nil || failed && !f || f == failed && score > top {
+			best, top, failed = s, score, f
 		}
 	}
 	return best
 }
 
 func (r *Router) source(t *txn, work int64) *server {
-	if p := r.pick(t, parent, work); p != nil && !slices.Contains(t.tried, p) {
+	if p := r.pick(t, parent, work, anyone); p != nil && !slices.Contains(t.tried, p) {
 		return p
 	}
 	return r.origin
@@ -813,7 +811,7 @@
 	rank := 0
 	if t.rule.write && r.direct {
 		to, from = r.origin, r.origin
-	} else if to = r.pick(t, edge, work); to != nil {
+	} else if to = r.pick(t, edge, work, anyone); to != nil {
 		from = r.source(t, work)
 		if t.rule.write {
 			from = r.origin
@@ -822,11 +820,9 @@
 		to, from = r.source(t, work), r.origin
 	}
 	// A second place may have what the first lacks; more tries only feed a jam.
-	const mostReads = 2
+	const mostReads = 3 // one of them a look
 	most := r.maxHops
-	if t.looked {
-		most = min(most, mostReads+1)
-	} else if !t.rule.write {
+	if !t.rule.write {
 		most = min(most, mostReads)
 	}
 	if to == nil || from == nil || left <= 0 || len(t.hops) >= most || !r.may(t, to) {
@@ -838,23 +834,24 @@
 	// room by then.
 	mode, kind := 0, fills
 	if to.role == edge && !t.rule.write && r.jammed(t, &to.room[fills]) {
-		if t.looked || r.jammed(t, &to.room[looks]) {
+		if next := r.pick(t, edge, work, idle); next != nil {
+			to = next
+		} else if t.looked || r.jammed(t, &to.room[looks]) {
 			r.giveUp(t)
 			return
+		} else {
+			kind, from, t.looked = looks, to, true
 		}
-		kind, from, t.looked = looks, to, true
 	}
-	if !t.rule.write {
-		if to.role == edge && kind == fills {
-			rank = r.admit(to, t.key)
-			if t.rule.fresh > 0 {
-				mode |= modeRenew
-			}
-		}
-		if r.joins {
-			mode |= modeJoin
+	if to.role == edge && !t.rule.write && kind == fills {
+		rank = r.admit(to, t.key)
+		if t.rule.fresh > 0 {
+			mode |= modeRenew
 		}
 	}
+	if r.joins && !t.rule.write {
+		mode |= modeJoin
+	}
 	if t.state == clean && !t.taint() {
 		t.firstRun = r.now
 	}
@@ -895,7 +892,7 @@
 	case t.rule.effect != repeatable:
 	case !r.pair && r.cancel:
 		r.do(Action{Kind: ActCancel, Txn: t.id, Hop: len(t.hops) - 1})
-	case r.pair && len(t.hops) < r.maxHops && r.pick(t, edge, mean(t.rule.works, t.rule.sla)) != nil:
+	case r.pair && len(t.hops) < r.maxHops && r.pick(t, edge, mean(t.rule.works, t.rule.sla), anyone) != nil:
 		r.hop(t)
 	}
 }
@@ -988,12 +985,11 @@
 // sweep does what time brings.
 func (r *Router) sweep() {
 	const halveEvery = 10 * sec // the design page's starting value
-	if r.halveAt == 0 {
-		r.halveAt = r.now + halveEvery
-	}
 	if r.now >= r.halveAt {
+		if r.halveAt > 0 {
+			r.sketch.halve()
+		}
 		r.halveAt = r.now + halveEvery
-		r.sketch.halve()
 	}
 	if r.askAt > 0 && r.now >= r.askAt {
 		r.askAt = 0
@@ -1020,14 +1016,15 @@
 				r.ended(t, h, false)
 			}
 		}
-		if last := len(t.hops) - 1; last >= 0 {
-			h := &t.hops[last]
-			if stuck := h.kind == fills && h.source.health == down && r.now-h.sent > t.rule.sla/2; h.out && !h.lost &&
-				(stuck || h.server.health == down) {
-				h.lost = true
-				t.tried = append(t.tried, h.server)
-				r.step(t, inLost)
-			}
+		if len(t.hops) == 0 {
+			continue
+		}
+		h := &t.hops[len(t.hops)-1]
+		stuck := h.kind == fills && h.source.health == down && r.now-h.sent > t.rule.sla/2
+		if h.out && !h.lost && (stuck || h.server.health == down) {
+			h.lost = true
+			t.tried = append(t.tried, h.server)
+			r.step(t, inLost)
 		}
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -293,3 +293,29 @@
 		t.Fatal("the last parent up is rested")
 	}
 }
+
+// One cache short of room beside idle ones once shed what they could answer.
+func TestJammedCacheGivesWayToAnIdleOne(t *testing.T) {
+	r := router(nil)
+	first := only(t, r.Handle(begin, request("read"), nil), ActGet).Server
+	r.servers[first].room[fills] = room{out: 5, limit: 2}
+	e := request("read")
+	e.Txn = "u"
+	if a := only(t, r.Handle(begin, e, nil), ActGet); a.Server == first || a.Source == a.Server {
+		t.Fatalf("the idle cache was not asked to fill: %+v", a)
+	}
+}
+
+func TestHashFollowsSize(t *testing.T) {
+	r := router(nil)
+	r.servers[cacheA].size = 3 * r.servers[cacheB].size
+	got := 0
+	for i := range 1000 {
+		if r.pick(&txn{state: clean, key: hash(fmt.Sprint(i))}, edge, 1, anyone) == r.servers[cacheA] {
+			got++
+		}
+	}
+	if got < 700 || got > 800 {
+		t.Fatalf("%d of 1000 objects at a cache of three quarters of the size", got)
+	}
+}
