--- a/logic/logic.go
+++ b/logic/logic.go
@@ -277,27 +277,28 @@
 	return s.out >= unheard && r.now-s.waiting > r.quiet
 }
 
-// supplied notes whether a fill that named a source came in time. A source is
-// late when at least half of its last fills were and twice the share of
-// all other sources: misses behind a lost or limping parent hang while hits
-// go on, and a slow origin makes all parents late alike. It harms where one
-// parent alone has the objects that are slow to make.
+// supplied notes whether a fill that named a source came in time. A parent is
+// late when half of its last fills were and twice the share of the best other
+// source: misses behind a lost or limping parent hang while hits go on, and a
+// slow origin makes all sources late alike; a probe tells whether it is there,
+// where that is allowed. It harms where one parent alone
+// has the objects that are slow to make, or the origin is idle but small.
 func (r *Router) supplied(s *server, timely bool) {
-	if s.role != parent {
-		return
-	}
 	s.late = sample(s.late, !timely)
 	own, all := lateOf(s.late)
-	others, n, spare := 0, 0, false
+	if s.role != parent || 2*own < window {
+		return
+	}
 	for _, p := range r.order {
-		if p.role == parent && p != s {
-			l, a := lateOf(p.late)
-			others, n = others+l, n+a
-			spare = spare || p.listed && p.health == up
+		l, n := lateOf(p.late)
+		if p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all {
+			r.judge(s, signLate)
+			return
 		}
 	}
-	if spare && 2*own >= window && own*n > 2*others*all {
-		r.judge(s, signLate)
+	if r.canProbe && s.health == up {
+		s.late = nil
+		r.judge(s, signSilent)
 	}
 }
 
@@ -543,21 +544,20 @@
 
 // Router is one instance.
 type Router struct {
-	now     int64
-	out     []Action
-	sketch  sketch
-	sampleN int
-	servers map[string]*server
-	order   []*server // every server ever listed, by id
-	origin  *server
-	rules   map[string]*rule
-	txns    map[string]*txn
-	open    []*txn    // in order of arrival; closed ones leave at the next sweep
-	values  []float64 // importance for sending time of the last txns
-	purges  []purge
-	ticking bool
-	halveAt int64
-	askAt   int64
+	now            int64
+	out            []Action
+	sketch         sketch
+	sampleN        int
+	servers        map[string]*server
+	order          []*server // every server ever listed, by id
+	origin         *server
+	rules          map[string]*rule
+	txns           map[string]*txn
+	open           []*txn    // in order of arrival; closed ones leave at the next sweep
+	values         []float64 // importance for sending time of the last txns
+	purges         []purge
+	ticking        bool
+	halveAt, askAt int64
 
 	zone                                  string
 	kinds                                 map[string]role
@@ -565,8 +565,7 @@
 	fallFor                               int64
 	quiet                                 int64   // how long a server may say nothing with hops out
 	flow                                  float64 // KB in a microsecond
-	purgeDone                             int64
-	stay                                  int64
+	purgeDone, stay                       int64
 	maxHops                               int
 	direct, joins, canProbe, cancel, pair bool
 	pull, live                            bool // discovery must be asked; weights change with load
@@ -685,13 +684,13 @@
 			at, _ := slices.BinarySearchFunc(r.order, s, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
 			r.order = slices.Insert(r.order, at, s)
 		}
+		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
 		for i := range s.room {
 			if s.room[i].limit == 0 {
 				const start = 3 // above any use in calm: answers bring it down
-				s.room[i].limit = start * max(n.Weight, 1) / r.cold[edge].routers
+				s.room[i].limit = start * max(n.Weight, 1) / max(r.cold[s.role].routers, 1)
 			}
 		}
-		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
 		s.listed = n.State == "active"
 		if n.Born > s.born {
 			s.born = n.Born
@@ -833,7 +832,7 @@
 	// and costs no place for long. What it misses is given up unless a fill has
 	// room by then.
 	mode, kind, grace := 0, fills, int64(0)
-	if to.role == edge && !t.rule.write && r.jammed(t, &to.room[fills]) {
+	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
 		if next := r.pick(t, edge, work, idle); next != nil {
 			to = next
 		} else if t.looked || r.jammed(t, &to.room[looks]) {
@@ -864,8 +863,12 @@
 	if from != to {
 		r.charge(from, work)
 	}
+	cap := left
+	if to.role == edge && t.work > 0 {
+		cap = min(left, 2*t.sla()) // by then it earns little and holds a place
+	}
 	r.do(Action{Kind: ActGet, Txn: t.id, Server: to.id, Source: from.id, Rank: rank,
-		Age: r.age(t, grace), Cap: left, Mode: mode})
+		Age: r.age(t, grace), Cap: cap, Mode: mode})
 }
 
 // again follows a hop that ended without an answer.
@@ -964,7 +967,8 @@
 	if h.kind == fills {
 		t.tried = append(t.tried, s)
 	}
-	if e.Note >= 6 && e.Note != 9 && h.source != s {
+	// Untold, or after a time-out, the source may be what failed.
+	if h.source != s && (e.Note >= 6 && e.Note != 9 || e.Code == "etimedout") {
 		t.tried = append(t.tried, h.source)
 	}
 	r.step(t, o.txn)
@@ -972,12 +976,12 @@
 
 // ended draws the lessons of a hop, once: at its end or when it is overdue.
 func (r *Router) ended(t *txn, h *hop, timely bool) {
-	if h.overdue || h.server.role != edge || t.rule.write {
+	if h.overdue || h.server.role == origin || t.rule.write {
 		return
 	}
 	h.overdue = !timely
 	r.learn(&h.server.room[h.kind], timely)
-	if h.kind == fills {
+	if h.kind == fills && h.server.role == edge {
 		r.supplied(h.source, timely)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -329,3 +329,53 @@
 		t.Fatalf("a look with age %d, want fresh and grace", a.Age)
 	}
 }
+
+// Stuck fills once held their places until the client left.
+func TestHopOfToldSizeEndsAtTwiceItsSLATime(t *testing.T) {
+	r := router(nil)
+	e := request("read")
+	if a := only(t, r.Handle(begin, e, nil), ActGet); a.Cap != sec {
+		t.Fatalf("time-out %d, want twice the SLA time", a.Cap)
+	}
+	e.Txn, e.SizeKB = "u", 0
+	if a := only(t, r.Handle(begin, e, nil), ActGet); a.Cap != e.Remaining {
+		t.Fatalf("time-out %d of a hop of unknown size, want all that is left", a.Cap)
+	}
+}
+
+// Hops past a lost location once ran out by the thousand at the parents.
+func TestHopsStraightToAParentAreLimited(t *testing.T) {
+	r := router(nil)
+	r.servers[cacheA].listed, r.servers[cacheB].listed = false, false
+	if a := only(t, r.Handle(begin, request("read"), nil), ActGet); a.Server != par || a.Source != root {
+		t.Fatalf("not straight to the parent: %+v", a)
+	}
+	r.servers[par].room = [2]room{{out: 5, limit: 2}, {out: 5, limit: 2}}
+	e := request("read")
+	e.Txn = "u"
+	only(t, r.Handle(begin, e, nil), ActReject)
+}
+
+// The last parent's loss once went unseen: nothing was left to measure it by.
+func TestLateParentIsProbedWhereNoSourceIsBetter(t *testing.T) {
+	r := router(func(s *Settings) { s.Limits.Probes = true })
+	s := r.servers[par]
+	for range window / 2 {
+		r.supplied(s, false)
+	}
+	if a := only(t, r.out, ActProbe); a.Server != par || s.health != doubt {
+		t.Fatalf("health %d after late fills, action %+v", s.health, a)
+	}
+	if r.Handle(begin, Event{Kind: EvHealth, Server: par, Code: "etimedout"}, nil); s.health != down {
+		t.Fatal("not rested after a failed probe")
+	}
+}
+
+// A limit at its floor once stayed there: no hop was out when the last ended.
+func TestLimitRisesFromItsFloor(t *testing.T) {
+	r := router(nil)
+	m := &room{limit: 2}
+	if r.learn(m, true); m.limit <= 2 {
+		t.Fatal("not raised by the one hop there was room for")
+	}
+}
