Lend from parents only what they hold, where fills are late and the link in is free

Cause: behind a slow or stopped origin every miss was rejected, though parents still held much of it and links into locations ran at under a tenth. After a look, a loan asks the parent for what it holds, under a learned limit of its own, while the link in is reported under half full. How told: fills hang at all parents, probes are answered, link reports are near zero. Guards also against a parent cut from the origin; harms where link reports are late and the link is full.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -151,8 +151,7 @@
 
 // healthTable judges by outcomes alone, whatever their cause. One bad sign may
 // be chance (a full connection table), two in a row or silence are not. It
-// harms where a server fails two hops in a row and is well: it then rests for
-// restFirst.
+// harms where a server fails two hops in a row and is well: it rests for a while.
 var healthTable = []struct {
 	in   health
 	sign sign
@@ -182,8 +181,7 @@
 	}
 }
 
-// spend is work sent to a server, by its rule's mean sending time.
-type spend struct{ at, work int64 }
+type spend struct{ at, work int64 } // work sent to a server, by its rule's mean sending time
 
 type server struct {
 	id           string
@@ -200,9 +198,10 @@
 	due          int64
 	rests        int64
 	spent        []spend
+	link         float64  // how full its location's link in was reported
 	late         []bool   // of a source: the last fills that named it
 	kept         []uint64 // objects it was asked to keep, by recency, latest last
-	room         [2]room  // for hops that may fill, and for looks
+	room         [3]room  // for hops that may fill, and for looks
 }
 
 type role uint8
@@ -213,9 +212,8 @@
 	origin
 )
 
-// rest keeps a failing server out for restFirst, doubling up to restMost:
-// soon enough for a process that restarts within seconds, rarely enough that
-// a silent machine costs one hop in a rest.
+// rest keeps a failing server out, doubling: soon enough for a process that restarts
+// within seconds, rarely enough that a silent machine costs one hop in a rest.
 func (r *Router) rest(s *server) {
 	const restFirst, restMost = 1 * sec, 4 * sec
 	s.late = nil
@@ -230,11 +228,9 @@
 	}
 }
 
-// back welcomes a server that was away.
 func (r *Router) back(s *server) { s.rests = 0 }
 
-// reborn forgets what a restarted server was known by: it comes empty, so a
-// full list would refuse newcomers (the design page's third doubt).
+// reborn forgets a restarted server: empty, it must not face a full list (the design page's third doubt).
 func (r *Router) reborn(s *server) {
 	s.rests, s.kept, s.late = 0, nil, nil
 }
@@ -305,7 +301,8 @@
 // ---- Budgets for cold servers ----
 
 // coldShare is the part of the fall-over budget that routers use: the rest
-// covers hops of others who learn late, and sizes above the mean. At 0.45 hunts came to 40% of a fall at most.
+// covers hops of others who learn late, and sizes above the mean. At 0.45 hunts
+// came to 40% of a fall at most.
 const coldShare = 0.75
 
 // affords tells whether a server can be sent work more: anything once warm,
@@ -317,10 +314,9 @@
 		return true
 	}
 	sum := work
+	s.spent = slices.DeleteFunc(s.spent, func(p spend) bool { return p.at <= r.now-r.fallFor })
 	for _, p := range s.spent {
-		if p.at > r.now-r.fallFor {
-			sum += p.work
-		}
+		sum += p.work
 	}
 	able := c.from + (1-c.from)*float64(max(age, 0))/float64(c.lasts)
 	return float64(sum) <= coldShare*c.multiple*able*s.weight*float64(r.fallFor)/c.routers
@@ -354,6 +350,7 @@
 const (
 	fills = iota // hops that may bring a fill
 	looks        // hops that take only what the cache holds
+	loans        // fills of only what the parent holds
 )
 
 // learn moves a limit: up by one a round of timely answers, down by a part
@@ -500,7 +497,7 @@
 	work     int64 // sending time, where the size is told
 	value    float64
 	deadline int64
-	looked   bool
+	looked   int // the last of looks and loans it has had
 	state    state
 	due      int64 // of a held txn; 0: not held
 	firstRun int64 // when the first hop that may have run went out
@@ -696,8 +693,8 @@
 			s.born = n.Born
 			r.judge(s, signBorn)
 		}
-		if s.size = 1; !r.live {
-			s.size = s.weight // the same at every router
+		if s.size = s.weight; r.live {
+			s.size = 1 // the same at every router
 		}
 	}
 	r.sampleN, r.origin = 0, nil
@@ -719,14 +716,13 @@
 	}
 	t := &txn{id: e.Txn, state: clean, rule: k, key: hash(e.Object, uint64(e.Part)), object: e.Object,
 		group: e.Group, deadline: r.now + e.Remaining}
+	work := k.sla // where sizes are not told
 	if e.SizeKB > 0 && r.flow > 0 {
 		t.work = int64(e.SizeKB / r.flow)
 		k.works = sample(k.works, t.work)
+		work = max(t.work, mean(k.works, k.sla)/8)
 	}
-	t.value = k.importance / float64(max(t.work, mean(k.works, k.sla)/8))
-	if t.work == 0 {
-		t.value = k.importance / float64(k.sla)
-	}
+	t.value = k.importance / float64(work)
 	r.values = sample(r.values, t.value)
 	r.txns[t.id] = t
 	r.open = append(r.open, t)
@@ -745,8 +741,6 @@
 	return s.listed && s.health != down && !tried && r.affords(s, work)
 }
 
-func anyone(*server) bool { return true }
-
 // idle tells whether a cache has room for the txns of a jammed one: where one
 // cache is short and others are not, a second copy costs less than a rejection.
 // In a jam of all it must not act, since it would scatter what is kept.
@@ -762,7 +756,8 @@
 	var top float64
 	failed := true
 	for _, s := range r.order {
-		if s.role != role || role == edge && (s.zone != r.zone || !r.may(t, s)) || !r.usable(s, work) || !fit(s) {
+		barred := s.role != role || role == edge && (s.zone != r.zone || !r.may(t, s)) || !r.usable(s, work)
+		if barred || fit != nil && !fit(s) {
 			continue
 		}
 		f := slices.Contains(t.tried, s)
@@ -775,7 +770,7 @@
 }
 
 func (r *Router) source(t *txn, work int64) *server {
-	if p := r.pick(t, parent, work, anyone); p != nil && !slices.Contains(t.tried, p) {
+	if p := r.pick(t, parent, work, nil); p != nil && !slices.Contains(t.tried, p) {
 		return p
 	}
 	return r.origin
@@ -798,6 +793,7 @@
 
 const (
 	modeJoin  = 1
+	modeHeld  = 2
 	modeRenew = 8
 )
 
@@ -810,7 +806,7 @@
 	rank := 0
 	if t.rule.write && r.direct {
 		to, from = r.origin, r.origin
-	} else if to = r.pick(t, edge, work, anyone); to != nil {
+	} else if to = r.pick(t, edge, work, nil); to != nil {
 		from = r.source(t, work)
 		if t.rule.write {
 			from = r.origin
@@ -819,7 +815,7 @@
 		to, from = r.source(t, work), r.origin
 	}
 	// A second place may have what the first lacks; more tries only feed a jam.
-	const mostReads = 3 // one of them a look
+	const mostReads = 4 // one of them a look, one a loan
 	most := r.maxHops
 	if !t.rule.write {
 		most = min(most, mostReads)
@@ -829,20 +825,23 @@
 		return
 	}
 	// Where fills are late, hits need not be: a look takes what the cache holds
-	// and costs no place for long. What it misses is given up unless a fill has
-	// room by then.
+	// and costs no place for long; then a loan what the parent holds, without the
+	// origin behind it. Else it is given up, unless a fill has room by then.
+	const slack = 0.5 // a fuller link in is itself what makes fills late
 	mode, kind, grace := 0, fills, int64(0)
 	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
 		if next := r.pick(t, edge, work, idle); next != nil {
 			to = next
-		} else if t.looked || r.jammed(t, &to.room[looks]) {
+		} else if t.looked++; t.looked == looks && !r.jammed(t, &to.room[looks]) {
+			kind, from, grace = looks, to, t.rule.grace
+		} else if t.looked == loans && from.role == parent && to.link < slack && !r.jammed(t, &to.room[loans]) {
+			kind, mode = loans, modeHeld
+		} else {
 			r.giveUp(t)
 			return
-		} else {
-			kind, from, t.looked, grace = looks, to, true, t.rule.grace
 		}
 	}
-	if to.role == edge && !t.rule.write && kind == fills {
+	if to.role == edge && !t.rule.write && kind != looks {
 		rank = r.admit(to, t.key)
 		if t.rule.fresh > 0 {
 			mode |= modeRenew
@@ -895,7 +894,7 @@
 	case t.rule.effect != repeatable:
 	case !r.pair && r.cancel:
 		r.do(Action{Kind: ActCancel, Txn: t.id, Hop: len(t.hops) - 1})
-	case r.pair && len(t.hops) < r.maxHops && r.pick(t, edge, mean(t.rule.works, t.rule.sla), anyone) != nil:
+	case r.pair && len(t.hops) < r.maxHops && r.pick(t, edge, mean(t.rule.works, t.rule.sla), nil) != nil:
 		r.hop(t)
 	}
 }
@@ -939,6 +938,9 @@
 	if !known || s == nil {
 		return
 	}
+	if x, told := e.Load["x1"]; told {
+		s.link = x
+	}
 	if o.sign != signNone {
 		if o.sign == signGood {
 			r.heard(s)
@@ -981,7 +983,7 @@
 	}
 	h.overdue = !timely
 	r.learn(&h.server.room[h.kind], timely)
-	if h.kind == fills && h.server.role == edge {
+	if h.kind != looks && h.server.role == edge {
 		r.supplied(h.source, timely)
 	}
 }
@@ -1020,10 +1022,7 @@
 				r.ended(t, h, false)
 			}
 		}
-		if len(t.hops) == 0 {
-			continue
-		}
-		h := &t.hops[len(t.hops)-1]
+		h := &t.hops[len(t.hops)-1] // an open txn has had one
 		stuck := h.kind == fills && h.source.health == down && r.now-h.sent > t.rule.sla/2
 		if h.out && !h.lost && (stuck || h.server.health == down) {
 			h.lost = true
