--- a/logic/logic.go
+++ b/logic/logic.go
@@ -230,9 +230,9 @@
 
 func (r *Router) back(s *server) { s.rests = 0 }
 
-// reborn forgets a restarted server: empty, it must not face a full list (the design page's third doubt).
+// reborn forgets what a server did before its restart. Its list stays: clearing it moved nothing (simulated).
 func (r *Router) reborn(s *server) {
-	s.rests, s.kept, s.late = 0, nil, nil
+	s.rests, s.late = 0, nil
 }
 
 // keepSamples bounds each list of samples: enough for a tail, few enough to forget in seconds.
