Try a failed read again only while few of the router's fills fail

Change: one list of the last fills at the router; while a quarter failed, a failed read is rejected at once. It should guard against any loss of many servers at once. It can harm where one cache of few fails and others are well, until that one rests. Folded on the way: good signs and heard are one.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,7 @@
-// Package logic holds every decision of a quilldoor router. New starts an
-// instance from its settings and seed; Handle takes one event with the clock
-// (whole microseconds) and appends the actions it decides on, in order. The
-// module does no I/O, reads no clock and starts no goroutine. Its interface
-// stands in types.go; docs/design.md tells what follows the paper.
+// Package logic holds every decision of a quilldoor router. New starts an instance from its settings and
+// seed; Handle takes one event with the clock (whole microseconds) and appends the actions it decides on, in
+// order. The module does no I/O, reads no clock and starts no goroutine. Its interface stands in types.go;
+// docs/design.md tells what follows the paper.
 package logic
 
 import (
@@ -18,8 +17,8 @@
 
 // ---- The paper's sketch ----
 
-// sketchWidth counters in each of four rows. A halving period sees about a
-// thousand distinct objects at one router, so collisions stay rare.
+// sketchWidth counters in each of four rows. A halving period sees about a thousand distinct objects at one
+// router, so collisions stay rare.
 const sketchWidth = 1 << 12
 
 // counterTop is where a counter stops rising (the design page's ten).
@@ -149,9 +148,9 @@
 	signNone               // tells nothing of the server
 )
 
-// healthTable judges by outcomes alone, whatever their cause. One bad sign may
-// be chance (a full connection table), two in a row or silence are not. It
-// harms where a server fails two hops in a row and is well: it rests for a while.
+// healthTable judges by outcomes alone, whatever their cause. One bad sign may be chance (a full connection
+// table), two in a row or silence are not. It harms where a server fails two hops in a row and is well: it
+// rests for a while.
 var healthTable = []struct {
 	in   health
 	sign sign
@@ -166,10 +165,16 @@
 	{down, signDue, trial, (*Router).ask},
 	{doubt, signGood, up, nil},
 	{down | trial, signGood, up, (*Router).back},
-	{always, signBorn, up, (*Router).reborn},
+	{always, signBorn, up, (*Router).back},
 }
 
 func (r *Router) judge(s *server, sign sign) {
+	if s != nil && sign == signGood {
+		s.waiting = 0
+		if s.out > 0 {
+			s.waiting = r.now
+		}
+	}
 	for _, row := range healthTable {
 		if s != nil && row.in&s.health != 0 && row.sign == sign {
 			s.health = row.next
@@ -212,8 +217,8 @@
 	origin
 )
 
-// rest keeps a failing server out, doubling: soon enough for a process that restarts
-// within seconds, rarely enough that a silent machine costs one hop in a rest.
+// rest keeps a failing server out, doubling: soon enough for a process that restarts within seconds, rarely
+// enough that a silent machine costs one hop in a rest.
 func (r *Router) rest(s *server) {
 	const restFirst, restMost = 1 * sec, 4 * sec
 	s.late = nil
@@ -228,10 +233,8 @@
 	}
 }
 
-func (r *Router) back(s *server) { s.rests = 0 }
-
-// reborn forgets what a server did before its restart. Its list stays: clearing it moved nothing (simulated).
-func (r *Router) reborn(s *server) { s.rests, s.late = 0, nil }
+// back forgets what a server did before. Its list stays: clearing it moved nothing (simulated).
+func (r *Router) back(s *server) { s.rests, s.late = 0, nil }
 
 // keepSamples bounds each list of samples: enough for a tail, few enough to forget in seconds.
 const keepSamples = 32
@@ -254,29 +257,19 @@
 	return sum / int64(len(list))
 }
 
-// heard notes that a server said something, whatever it was.
-func (r *Router) heard(s *server) {
-	s.waiting = 0
-	if s.out > 0 {
-		s.waiting = r.now
-	}
-}
-
-// silent tells whether a server has left several hops without a word for far
-// longer than its answers should take. It answers any cause: a lost machine, a
-// cut link, a long stall. It harms where answers are few and all of them slow,
-// hence the count; a probe settles it where there is one.
+// silent tells whether a server has left several hops without a word for far longer than its answers should
+// take. It answers any cause: a lost machine, a cut link, a long stall. It harms where answers are few and
+// all of them slow, hence the count; a probe settles it where there is one.
 func (r *Router) silent(s *server) bool {
 	const unheard = 3
 	return s.out >= unheard && r.now-s.waiting > r.quiet
 }
 
-// supplied notes whether a fill that named a source came in time. A parent is
-// late when half of its last fills were and twice the share of the best other
-// source: misses behind a lost or limping parent hang while hits go on, and a
-// slow origin makes all sources late alike; a probe tells whether it is there,
-// where that is allowed. It harms where one parent alone has the objects that
-// are slow to make, or the origin is idle but small.
+// supplied notes whether a fill that named a source came in time. A parent is late when half of its last
+// fills were and twice the share of the best other source: misses behind a lost or limping parent hang while
+// hits go on, and a slow origin makes all sources late alike; a probe tells whether it is there, where that
+// is allowed. It harms where one parent alone has the objects that are slow to make, or the origin is idle
+// but small.
 func (r *Router) supplied(s *server, timely bool) {
 	s.late = sample(s.late, !timely)
 	own, all := lateOf(s.late)
@@ -298,13 +291,12 @@
 
 // ---- Budgets for cold servers ----
 
-// coldShare is the part of the fall-over budget that routers use: the rest
-// covers hops of others who learn late, and sizes above the mean. At 0.45 hunts
-// came to 40% of a fall at most.
+// coldShare is the part of the fall-over budget that routers use: the rest covers hops of others who learn
+// late, and sizes above the mean. At 0.45 hunts came to 40% of a fall at most.
 const coldShare = 0.75
 
-// affords tells whether a server can be sent work more: anything once warm,
-// while cold this router's share of what it can do in every window.
+// affords tells whether a server can be sent work more: anything once warm, while cold this router's share of
+// what it can do in every window.
 func (r *Router) affords(s *server, work int64) bool {
 	c := r.cold[s.role]
 	age := r.now - s.born
@@ -327,9 +319,8 @@
 
 // ---- Overload ----
 
-// sla is the time within which the txn's answer earns all. Where sizes are not
-// told, half the rule's SLA time stands for the sending time: measured times
-// would grow with the very jam that they should show.
+// sla is the time within which the txn's answer earns all. Where sizes are not told, half the rule's SLA time
+// stands for the sending time: measured times would grow with the very jam that they should show.
 func (t *txn) sla() int64 {
 	work := t.work
 	if work == 0 {
@@ -351,10 +342,9 @@
 	loans        // fills of only what the parent holds
 )
 
-// learn moves a limit: up by one a round of timely answers, down by a part
-// when a quarter of the last ones were late or refused, then not again for a
-// round. It answers whatever makes a cache late: its link, its cores, slow
-// fills. It harms where answers are late for a cause that fewer hops don't mend.
+// learn moves a limit: up by one a round of timely answers, down by a part when a quarter of the last ones
+// were late or refused, then not again for a round. It answers whatever makes a cache late: its link, its
+// cores, slow fills. It harms where answers are late for a cause that fewer hops don't mend.
 func (r *Router) learn(m *room, timely bool) {
 	const least, cut, round = 2, 0.85, 200 * ms
 	m.late = sample(m.late, !timely)
@@ -368,8 +358,8 @@
 	}
 }
 
-// window is how many of the last hops a share is taken of: enough that a
-// quarter is no chance, few enough to turn within a second.
+// window is how many of the last hops a share is taken of: enough that a quarter is no chance, few enough to
+// turn within a second.
 const window = 16
 
 func lateOf(list []bool) (late, all int) {
@@ -382,9 +372,8 @@
 	return late, len(list)
 }
 
-// jammed tells whether a cache has no room for the txn. What earns least for
-// its sending time is shed first: the poorest at half the limit, the best at
-// half above it.
+// jammed tells whether a cache has no room for the txn. What earns least for its sending time is shed first:
+// the poorest at half the limit, the best at half above it.
 func (r *Router) jammed(t *txn, m *room) bool {
 	below := 0.0
 	for _, v := range r.values {
@@ -467,9 +456,8 @@
 	unrepeatable
 )
 
-// mayTable says what rule 2 leaves, by effect, once a hop may have run or is
-// still out: another hop, within the window and group where there is one; a
-// rejection.
+// mayTable says what rule 2 leaves, by effect, once a hop may have run or is still out: another hop, within
+// the window and group where there is one; a rejection.
 var mayTable = []struct{ again, reject, timed, zone, cell bool }{
 	repeatable:   {again: true, reject: true},
 	keyedAll:     {again: true, reject: true, timed: true},
@@ -551,6 +539,7 @@
 	rules          map[string]*rule
 	txns           map[string]*txn
 	open           []*txn    // in order of arrival; closed ones leave at the next sweep
+	failed         []bool    // of the last hops that might fill: those that brought no answer
 	values         []float64 // importance for sending time of the last txns
 	purges         []purge
 	ticking        bool
@@ -622,19 +611,12 @@
 	case EvAnswer:
 		r.answer(e, s, t)
 	case EvStarted:
-		if s != nil {
-			r.heard(s)
-			r.judge(s, signGood)
-		}
+		r.judge(s, signGood)
 		r.step(t, inStarted)
 	case EvAbandoned:
 		r.step(t, inFinal)
 	case EvHealth:
-		if e.Code == "done" {
-			r.judge(s, signGood)
-		} else {
-			r.judge(s, signBad)
-		}
+		r.judge(s, map[bool]sign{true: signGood, false: signBad}[e.Code == "done"])
 	case EvPurge:
 		r.purges = append(r.purges, purge{e.Object, e.Group, now - e.Age})
 	case EvTimer:
@@ -741,16 +723,16 @@
 	return s.listed && s.health != down && !tried && r.affords(s, work)
 }
 
-// idle tells whether a cache has room for the txns of a jammed one: where one
-// cache is short and others are not, a second copy costs less than a rejection.
-// In a jam of all it must not act, since it would scatter what is kept.
+// idle tells whether a cache has room for the txns of a jammed one: where one cache is short and others are
+// not, a second copy costs less than a rejection. In a jam of all it must not act, since it would scatter
+// what is kept.
 func idle(s *server) bool {
 	late, _ := lateOf(s.room[fills].late)
 	return late == 0 && 3*s.room[fills].out < s.room[fills].limit
 }
 
-// pick is rendezvous hashing, weighted by size: the usable server of greatest
-// score for the object, those that failed this txn last.
+// pick is rendezvous hashing, weighted by size: the usable server of greatest score for the object, those
+// that failed this txn last.
 func (r *Router) pick(t *txn, role role, work int64, fit func(*server) bool) *server {
 	var best *server
 	var top float64
@@ -824,9 +806,9 @@
 		r.giveUp(t)
 		return
 	}
-	// Where fills are late, hits need not be: a look takes what the cache holds
-	// and costs no place for long; then a loan what the parent holds, without the
-	// origin behind it. Else it is given up, unless a fill has room by then.
+	// Where fills are late, hits need not be: a look takes what the cache holds and costs no place for long;
+	// then a loan what the parent holds, without the origin behind it. Else it is given up, unless a fill has
+	// room by then.
 	const slack = 0.5 // a fuller link in is itself what makes fills late
 	mode, kind, grace := 0, fills, int64(0)
 	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
@@ -884,11 +866,19 @@
 		}
 		return
 	}
+	// A read that failed goes again only while few of the router's fills do: tries after failures feed a jam,
+	// wherever it is (a crowded origin above all), and many routers trying cost it the writes too. It guards
+	// against any loss of many servers at once; it harms where one cache of few fails and others are well,
+	// until that one rests.
+	if failed, _ := lateOf(r.failed); 4*failed >= window && t.hops[len(t.hops)-1].kind == fills {
+		r.giveUp(t)
+		return
+	}
 	r.hop(t)
 }
 
-// double sends a second copy while the first is out, or withdraws the first
-// so that its end brings the next hop.
+// double sends a second copy while the first is out, or withdraws the first so that its end brings the next
+// hop.
 func (r *Router) double(t *txn) {
 	switch {
 	case t.rule.effect != repeatable:
@@ -941,12 +931,7 @@
 	if x, told := e.Load["x1"]; told {
 		s.link = x
 	}
-	if o.sign != signNone {
-		if o.sign == signGood {
-			r.heard(s)
-		}
-		r.judge(s, o.sign)
-	}
+	r.judge(s, o.sign)
 	if t == nil || e.Hop < 0 || e.Hop >= len(t.hops) || !t.hops[e.Hop].out {
 		return
 	}
@@ -962,6 +947,9 @@
 	if e.Code != "ecanceled" && e.Code != "enoent" {
 		r.ended(t, h, e.Code == "done" && r.now-h.sent <= t.sla())
 	}
+	if h.kind == fills && !t.rule.write && e.Code != "ecanceled" {
+		r.failed = sample(r.failed, e.Code != "done")
+	}
 	if e.Final {
 		r.step(t, inFinal)
 		return
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -394,3 +394,15 @@
 	r.Handle(begin, request("read"), nil)
 	only(t, r.Handle(begin+ms, miss, nil), ActReject)
 }
+
+func TestFailedReadGoesAgainWhileFewFail(t *testing.T) {
+	for failed, want := range map[int]ActionKind{window/4 - 2: ActGet, window/4 - 1: ActReject} {
+		r := router(nil)
+		for i := range window - 1 {
+			r.failed = append(r.failed, i < failed)
+		}
+		get := only(t, r.Handle(begin, request("read"), nil), ActGet)
+		out := Event{Kind: EvAnswer, Txn: "t", Server: get.Server, Code: "busy"}
+		only(t, r.Handle(begin+ms, out, nil), want)
+	}
+}
