Count limits in a router's part of its location, down to chances below one hop

Cause: a limit's floor of two hops and its step of one stand at every router; with ten routers to a location they add up to five times what its caches and its link take, so that in a jam none of them can shed enough. Change: floor and step are divided by the location's routers (all routers for a parent); a limit below one hop is a chance from the instance's seed. With one router to a location nothing changes. It should guard against any jam that many routers feed together. It can harm where a router alone has most of a location's txns, since its part is then too small until the limit has risen.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"math"
+	"math/bits"
 	"slices"
 )
 
@@ -342,19 +343,20 @@
 	loans        // fills of only what the parent holds
 )
 
-// learn moves a limit: up by one a round of timely answers, down by a part when a quarter of the last ones
-// were late or refused, then not again for a round. It answers whatever makes a cache late: its link, its
-// cores, slow fills. It harms where answers are late for a cause that fewer hops don't mend.
-func (r *Router) learn(m *room, timely bool) {
+// learn moves a limit, counted in this router's part of the server (unit): up by one a round of timely answers,
+// down by a part when a quarter of the last ones were late or refused, then not again for a round. It answers
+// whatever makes a cache late: its link, its cores, slow fills. It harms where answers are late for a cause that
+// fewer hops don't mend. Limits of many routers add up, so the least one and the step are parts, too.
+func (r *Router) learn(m *room, unit float64, timely bool) {
 	const least, cut, round = 2, 0.85, 200 * ms
 	m.late = sample(m.late, !timely)
 	late, _ := lateOf(m.late)
 	switch {
 	case timely && m.out+1 >= m.limit/2:
-		m.limit += 1 / m.limit
+		m.limit += unit / m.limit
 	case !timely && 4*late >= window && r.now-m.cutAt > round:
 		m.cutAt = r.now
-		m.limit = max(min(m.limit, m.out+1)*cut, least)
+		m.limit = max(min(m.limit, m.out+1)*cut, least*unit)
 	}
 }
 
@@ -372,8 +374,15 @@
 	return late, len(list)
 }
 
+// chance draws from [0, 1) by a permuted congruential generator (XSH-RR, 64 bits of state).
+func (r *Router) chance() float64 {
+	old := r.dice
+	r.dice = old*6364136223846793005 + 1442695040888963407
+	return float64(bits.RotateLeft32(uint32((old>>18^old)>>27), -int(old>>59))) / (1 << 32)
+}
+
 // jammed tells whether a cache has no room for the txn. What earns least for its sending time is shed first:
-// the poorest at half the limit, the best at half above it.
+// the poorest at half the limit, the best at half above it. Below one hop it is a chance, from each router's seed.
 func (r *Router) jammed(t *txn, m *room) bool {
 	below := 0.0
 	for _, v := range r.values {
@@ -383,7 +392,8 @@
 			below += 0.5
 		}
 	}
-	return m.out >= m.limit*(0.5+below/float64(max(len(r.values), 1)))
+	most := m.limit * (0.5 + below/float64(max(len(r.values), 1)))
+	return m.out >= most || most < 1 && r.chance() >= most
 }
 
 // ---- Txns ----
@@ -538,8 +548,9 @@
 	origin         *server
 	rules          map[string]*rule
 	txns           map[string]*txn
-	open           []*txn    // in order of arrival; closed ones leave at the next sweep
-	failed         []bool    // of the last hops that might fill: those that brought no answer
+	open           []*txn // in order of arrival; closed ones leave at the next sweep
+	failed         []bool // of the last hops that might fill: those that brought no answer
+	dice           uint64
 	values         []float64 // importance for sending time of the last txns
 	purges         []purge
 	ticking        bool
@@ -564,11 +575,11 @@
 }
 
 // New starts an instance: the settings become the figures that decisions use.
-func New(set Settings, _ uint64) *Router {
+func New(set Settings, seed uint64) *Router {
 	c, f, l := &set.Contract, &set.Family, &set.Limits
 	r := &Router{
 		servers: map[string]*server{}, rules: map[string]*rule{}, txns: map[string]*txn{},
-		zone: set.Zone, kinds: map[string]role{}, fallFor: c.FallFor, flow: f.FlowKBPerS / float64(sec),
+		dice: seed, zone: set.Zone, kinds: map[string]role{}, fallFor: c.FallFor, flow: f.FlowKBPerS / float64(sec),
 		purgeDone: f.PurgeDone, maxHops: max(l.MaxHops, 1), direct: f.Direct, joins: f.Joins,
 		canProbe: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, pull: set.Discovery == "ask",
 		live: set.WeightKind == "live",
@@ -970,7 +981,7 @@
 		return
 	}
 	h.overdue = !timely
-	r.learn(&h.server.room[h.kind], timely)
+	r.learn(&h.server.room[h.kind], 1/r.cold[h.server.role].routers, timely)
 	if h.kind != looks && h.server.role == edge {
 		r.supplied(h.source, timely)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -218,16 +218,16 @@
 	r.now = begin
 	m := &room{out: 20, limit: 20}
 	for range 3 {
-		r.learn(m, false)
+		r.learn(m, 1, false)
 	}
 	if m.limit != 20 {
 		t.Fatal("cut before a quarter of the last answers were late")
 	}
-	if r.learn(m, false); m.limit >= 20 {
+	if r.learn(m, 1, false); m.limit >= 20 {
 		t.Fatal("not cut after four late answers")
 	}
 	low := m.limit
-	if r.learn(m, true); m.limit <= low {
+	if r.learn(m, 1, true); m.limit <= low {
 		t.Fatal("not raised by a timely answer")
 	}
 }
@@ -372,11 +372,32 @@
 func TestLimitRisesFromItsFloor(t *testing.T) {
 	r := router(nil)
 	m := &room{limit: 2}
-	if r.learn(m, true); m.limit <= 2 {
+	if r.learn(m, 1, true); m.limit <= 2 {
 		t.Fatal("not raised by the one hop there was room for")
 	}
 }
 
+// A router's part of a cache may be less than one hop: then some txns find room, others none.
+func TestLimitBelowOneHopIsAChance(t *testing.T) {
+	r := router(nil)
+	m, went := &room{limit: 1}, 0
+	if r.learn(m, 0.1, true); m.limit > 1.11 || m.limit < 1.09 {
+		t.Fatalf("limit %v, want a tenth above one", m.limit)
+	}
+	m.limit = 0.4
+	for range 1000 {
+		if !r.jammed(&txn{}, m) {
+			went++
+		}
+	}
+	if went < 150 || went > 250 {
+		t.Fatalf("%d of 1000 found room at half of 0.4", went)
+	}
+	if m.out = 1; !r.jammed(&txn{}, m) {
+		t.Fatal("a second hop went out")
+	}
+}
+
 // Behind a slow origin parents still hold much of what caches miss.
 func TestLoanAfterALook(t *testing.T) {
 	r := router(nil)
