--- a/logic/logic.go
+++ b/logic/logic.go
@@ -343,10 +343,10 @@
 	loans        // fills of only what the parent holds
 )
 
-// learn moves a limit, counted in this router's part of the server (unit): up by one a round of timely answers,
-// down by a part when a quarter of the last ones were late or refused, then not again for a round. It answers
-// whatever makes a cache late: its link, its cores, slow fills. It harms where answers are late for a cause that
-// fewer hops don't mend. Limits of many routers add up, so the least one and the step are parts, too.
+// learn moves a limit: up by one a round of timely answers, down by a part when a quarter of the last ones were
+// late or refused, then not again for a round. It answers whatever makes a cache late: its link, its cores, slow
+// fills. It harms where answers are late for a cause that fewer hops don't mend. Limits of many routers add up,
+// so the least one and the step are this router's part of the server (unit).
 func (r *Router) learn(m *room, unit float64, timely bool) {
 	const least, cut, round = 2, 0.85, 200 * ms
 	m.late = sample(m.late, !timely)
@@ -382,7 +382,7 @@
 }
 
 // jammed tells whether a cache has no room for the txn. What earns least for its sending time is shed first:
-// the poorest at half the limit, the best at half above it. Below one hop it is a chance, from each router's seed.
+// the poorest at half the limit, the best at half above it. Below one hop it is a chance from the own seed.
 func (r *Router) jammed(t *txn, m *room) bool {
 	below := 0.0
 	for _, v := range r.values {
