Judge lateness over fewer hops where a location has many routers

Cause: with seven to ten routers a router sends a cache a hop or two a second, so that its last 16 hops reach back ten seconds; the limit was cut for troubles long past and not for the one at hand. Change: the window is this router's part of 16 hops, four at least. With one router nothing changes. It should guard against any sudden jam at size. It can harm where one late hop in four is chance: limits then stay lower than need be.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -11,10 +11,7 @@
 	"slices"
 )
 
-const (
-	ms  = int64(1000)
-	sec = 1000 * ms
-)
+const ms, sec = int64(1000), int64(1000 * 1000)
 
 // ---- The paper's sketch ----
 
@@ -343,18 +340,20 @@
 	loans        // fills of only what the parent holds
 )
 
-// learn moves a limit: up by one a round of timely answers, down by a part when a quarter of the last ones were
-// late or refused, then not again for a round. It answers whatever makes a cache late: its link, its cores, slow
-// fills. It harms where answers are late for a cause that fewer hops don't mend. Limits of many routers add up,
-// so the least one and the step are this router's part of the server (unit).
+// learn moves a limit: up by one a round of timely answers, down by a part when a quarter of the last
+// ones were late or refused, then not again for a round. It answers whatever makes a cache late: its
+// link, its cores, slow fills. It harms where answers are late for a cause that fewer hops don't mend.
+// Limits of many routers add up, and each sees little: the least limit, the step and the window are this
+// router's part of the server (unit). Four samples are the fewest of which one makes a quarter.
 func (r *Router) learn(m *room, unit float64, timely bool) {
 	const least, cut, round = 2, 0.85, 200 * ms
 	m.late = sample(m.late, !timely)
-	late, _ := lateOf(m.late)
+	w := max(int(window*unit), 4)
+	late, _ := lateOf(m.late[max(0, len(m.late)-w):])
 	switch {
 	case timely && m.out+1 >= m.limit/2:
 		m.limit += unit / m.limit
-	case !timely && 4*late >= window && r.now-m.cutAt > round:
+	case !timely && 4*late >= w && r.now-m.cutAt > round:
 		m.cutAt = r.now
 		m.limit = max(min(m.limit, m.out+1)*cut, least*unit)
 	}
@@ -784,11 +783,7 @@
 	return age
 }
 
-const (
-	modeJoin  = 1
-	modeHeld  = 2
-	modeRenew = 8
-)
+const modeJoin, modeHeld, modeRenew = 1, 2, 8 // as the wire has them
 
 // hop sends the txn out, or gives it up where nowhere is left.
 func (r *Router) hop(t *txn) {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -384,6 +384,9 @@
 	if r.learn(m, 0.1, true); m.limit > 1.11 || m.limit < 1.09 {
 		t.Fatalf("limit %v, want a tenth above one", m.limit)
 	}
+	if r.learn(m, 0.1, false); m.limit > 1 {
+		t.Fatalf("limit %v after two hops, one late", m.limit)
+	}
 	m.limit = 0.4
 	for range 1000 {
 		if !r.jammed(&txn{}, m) {
