Limit hops past the caches by one room, since they share the location's link

Told from a lost parent: all parents alike, and only at locations that had drained. Limits stood at each parent, eleven times over, for what one link in has to carry. Change: hops that pass the caches by share one limit, which starts as that of one cache. It should guard against any loss of a location's caches, cold returns too. It can harm where the link in is wide and only one parent is slow. Folded: silence is judged where time is swept.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -204,7 +204,8 @@
 	link         float64  // how full its location's link in was reported
 	late         []bool   // of a source: the last fills that named it
 	kept         []uint64 // objects it was asked to keep, by recency, latest last
-	room         [3]room  // by kind of hop
+	own          [3]room
+	room         *[3]room // by kind of hop
 }
 
 type role uint8
@@ -255,14 +256,6 @@
 	return sum / int64(len(list))
 }
 
-// silent tells whether a server has left several hops without a word for far longer than its answers should
-// take. It answers any cause: a lost machine, a cut link, a long stall. It harms where answers are few and
-// all of them slow, hence the count; a probe settles it where there is one.
-func (r *Router) silent(s *server) bool {
-	const unheard = 3
-	return s.out >= unheard && r.now-s.waiting > r.quiet
-}
-
 // supplied notes whether a fill that named a source came in time. A parent is late when half of its last
 // fills were and twice the share of the best other source: misses behind a lost or limping parent hang while
 // hits go on, and a slow origin makes all sources late alike; a probe tells whether it is there, where that
@@ -550,6 +543,8 @@
 	open           []*txn // in order of arrival; closed ones leave at the next sweep
 	failed         []bool // of the last hops that might fill: those that brought no answer
 	dice           uint64
+	part           float64   // this router's of its location
+	beyond         [3]room   // for hops that pass the caches by: they share one link in
 	values         []float64 // importance for sending time of the last txns
 	purges         []purge
 	ticking        bool
@@ -593,6 +588,7 @@
 	if i := slices.Index(set.Zones, set.Zone); i >= 0 && i < len(f.ZoneBalancers) && f.ZoneBalancers[i] > 0 {
 		near = f.ZoneBalancers[i]
 	}
+	r.part = 1 / float64(near)
 	r.cold[edge] = cold{c.ColdFrom, c.FallMultiple, float64(near), c.ColdFor}
 	r.cold[parent] = cold{f.ParentColdFrom, f.ParentFallMultiple, float64(max(set.Siblings, 1)), f.ParentColdFor}
 	effects := map[string]effect{"keyed": keyedAll, "keyedzone": keyedZone, "keyedcell": keyedCell,
@@ -674,10 +670,12 @@
 			r.order = slices.Insert(r.order, at, s)
 		}
 		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
-		for i := range s.room {
-			if s.room[i].limit == 0 {
-				const start = 3 // above any use in calm: answers bring it down
-				s.room[i].limit = start * max(n.Weight, 1) / max(r.cold[s.role].routers, 1)
+		const start = 3 // above any use in calm: answers bring it down
+		if s.room = &r.beyond; s.role == edge {
+			s.room = &s.own
+			for i := range s.room {
+				s.own[i].limit = cmp.Or(s.own[i].limit, start*s.weight*r.part)
+				r.beyond[i].limit = cmp.Or(r.beyond[i].limit, s.own[i].limit)
 			}
 		}
 		s.listed = n.State == "active"
@@ -976,7 +974,7 @@
 		return
 	}
 	h.overdue = !timely
-	r.learn(&h.server.room[h.kind], 1/r.cold[h.server.role].routers, timely)
+	r.learn(&h.server.room[h.kind], r.part, timely)
 	if h.kind != looks && h.server.role == edge {
 		r.supplied(h.source, timely)
 	}
@@ -1000,7 +998,11 @@
 		if s.health == down && r.now >= s.due {
 			r.judge(s, signDue)
 		}
-		if r.silent(s) {
+		// Silent is a server that has left several hops without a word for far longer than its answers should
+		// take. It answers any cause: a lost machine, a cut link, a long stall. It harms where answers are few
+		// and all of them slow, hence the count; a probe settles it where there is one.
+		const unheard = 3
+		if s.out >= unheard && r.now-s.waiting > r.quiet {
 			r.judge(s, signSilent)
 			s.waiting = r.now
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -183,13 +183,13 @@
 // Slow fills behind a cache were once taken for its silence.
 func TestSilenceNeedsSeveralHops(t *testing.T) {
 	r := router(nil)
-	s := &server{out: 2, waiting: begin}
 	r.now = begin + 5*sec
-	if r.silent(s) {
-		t.Fatal("two hops out pass for silence")
-	}
-	if s.out = 3; !r.silent(s) {
-		t.Fatal("three unheard hops do not pass for silence")
+	s := r.servers[cacheA]
+	for out, want := range map[int]health{2: up, 3: doubt} {
+		s.out, s.waiting, s.health = out, begin, up
+		if r.sweep(); s.health != want {
+			t.Fatalf("%d unheard hops: health %d, want %d", out, s.health, want)
+		}
 	}
 }
 
@@ -347,7 +347,7 @@
 	if a := only(t, r.Handle(begin, request("read"), nil), ActGet); a.Server != par || a.Source != root {
 		t.Fatalf("not straight to the parent: %+v", a)
 	}
-	r.servers[par].room = [3]room{{out: 5, limit: 2}, {out: 5, limit: 2}, {out: 5, limit: 2}}
+	r.beyond = [3]room{{out: 5, limit: 2}, {out: 5, limit: 2}, {out: 5, limit: 2}} // whichever parent they went to
 	e := request("read")
 	e.Txn = "u"
 	only(t, r.Handle(begin, e, nil), ActReject)
