Let limits fall by 30 percent and rise by half a hop a round

Told from failures by their absence: nothing was lost, everything was late. It should guard against overload of any kind.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -333,19 +333,21 @@
 	loans        // fills of only what the parent holds
 )
 
-// learn moves a limit: up by one a round of timely answers, down by a part when a quarter of the last
-// ones were late or refused, then not again for a round. It answers whatever makes a cache late: its
-// link, its cores, slow fills. It harms where answers are late for a cause that fewer hops don't mend.
-// Limits of many routers add up, and each sees little: the least limit, the step and the window are this
-// router's part of the server (unit). Four samples are the fewest of which one makes a quarter.
+// learn moves a limit: up by half a hop a round of timely answers, down by 30% when a quarter of the last
+// ones were late or refused, then not again for a round. Steps of one and 15% settled where a quarter is late
+// all day: a late answer takes the room of one in time, so a limit falls faster than it rises. It answers
+// whatever makes a cache late: its link, its cores, slow fills. It harms where answers are late for a cause
+// that fewer hops don't mend. Limits of many routers add up, and each sees little: the least limit, the step
+// and the window are this router's part of the server (unit). Four samples are the fewest of which one makes
+// a quarter.
 func (r *Router) learn(m *room, unit float64, timely bool) {
-	const least, cut, round = 2, 0.85, 200 * ms
+	const least, cut, round = 2, 0.7, 200 * ms
 	m.late = sample(m.late, !timely)
 	w := max(int(window*unit), 4)
 	late, _ := lateOf(m.late[max(0, len(m.late)-w):])
 	switch {
 	case timely && m.out+1 >= m.limit/2:
-		m.limit += unit / m.limit
+		m.limit += unit / (2 * m.limit)
 	case !timely && 4*late >= w && r.now-m.cutAt > round:
 		m.cutAt = r.now
 		m.limit = max(min(m.limit, m.out+1)*cut, least*unit)
