Probe a parent at each late fill where probes are allowed

A router names a parent some times in ten seconds, so that eight late fills of sixteen came long after. Told from a slow origin: fills from other parents went on. Change: a late fill puts its parent in doubt and asks it; a failed probe rests it. It should guard against any silent or dead parent.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -258,24 +258,24 @@
 
 // supplied notes whether a fill that named a source came in time. A parent is late when half of its last
 // fills were and twice the share of the best other source: misses behind a lost or limping parent hang while
-// hits go on, and a slow origin makes all sources late alike; a probe tells whether it is there, where that
-// is allowed. It harms where one parent alone has the objects that are slow to make, or the origin is idle
-// but small.
+// hits go on, and a slow origin makes all sources late alike. Where probes are allowed each late fill asks
+// whether the parent is there, since a router may name a parent once in seconds only. It harms where one
+// parent alone has the objects that are slow to make, or the origin is idle but small; behind a slow origin
+// probes are wasted.
 func (r *Router) supplied(s *server, timely bool) {
 	s.late = sample(s.late, !timely)
-	own, all := lateOf(s.late)
-	if s.role != parent || 2*own < window {
+	if s.role != parent || timely {
 		return
 	}
+	own, all := lateOf(s.late)
 	for _, p := range r.order {
 		l, n := lateOf(p.late)
-		if p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all {
+		if 2*own >= window && p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all {
 			r.judge(s, signLate)
 			return
 		}
 	}
 	if r.canProbe && s.health == up {
-		s.late = nil
 		r.judge(s, signSilent)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -353,15 +353,15 @@
 	only(t, r.Handle(begin, e, nil), ActReject)
 }
 
-// The last parent's loss once went unseen: nothing was left to measure it by.
-func TestLateParentIsProbedWhereNoSourceIsBetter(t *testing.T) {
+// A lost parent once went unseen by routers that name it once in seconds.
+func TestLateFillProbesItsParent(t *testing.T) {
 	r := router(func(s *Settings) { s.Limits.Probes = true })
 	s := r.servers[par]
-	for range window / 2 {
-		r.supplied(s, false)
-	}
+	r.supplied(s, true)
+	none(t, r.out, ActProbe)
+	r.supplied(s, false)
 	if a := only(t, r.out, ActProbe); a.Server != par || s.health != doubt {
-		t.Fatalf("health %d after late fills, action %+v", s.health, a)
+		t.Fatalf("health %d after a late fill, action %+v", s.health, a)
 	}
 	if r.Handle(begin, Event{Kind: EvHealth, Server: par, Code: "etimedout"}, nil); s.health != down {
 		t.Fatal("not rested after a failed probe")
