Divide recency lists by the root of the location's routers

Change: 64 over the root of the routers; with one router nothing changes. It can harm where most of a location's clients come to one router.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,7 +90,9 @@
 }
 
 // listCap bounds what a router remembers of one edge cache. Lists of 256 or 128 never filled or hardly, so
-// nothing was passed through; 32 kept too little (simulated, all deployments).
+// nothing was passed through; 32 kept too little. It is divided by the root of the location's routers: 64
+// hardly filled where ten share a cache, a tenth of it refused what the few txns of one router can't tell
+// apart (simulated, all deployments).
 const listCap = 64
 
 // admit is the design's rule: the rank at which a cache shall keep the object.
@@ -98,7 +100,7 @@
 	const middle = 2
 	if i := slices.Index(s.kept, h); i >= 0 {
 		s.kept = slices.Delete(s.kept, i, i+1)
-	} else if len(s.kept) >= listCap {
+	} else if len(s.kept) >= r.listCap {
 		if r.sketch.estimate(h) <= r.sketch.estimate(s.kept[0]) {
 			return 0
 		}
@@ -380,11 +382,7 @@
 func (r *Router) jammed(t *txn, m *room) bool {
 	below := 0.0
 	for _, v := range r.values {
-		if v < t.value {
-			below++
-		} else if v == t.value {
-			below += 0.5
-		}
+		below += float64(1+cmp.Compare(t.value, v)) / 2
 	}
 	most := m.limit * (0.5 + below/float64(max(len(r.values), 1)))
 	return m.out >= most || most < 1 && r.chance() >= most
@@ -559,7 +557,7 @@
 	quiet                                 int64   // how long a server may say nothing with hops out
 	flow                                  float64 // KB in a microsecond
 	purgeDone, stay                       int64
-	maxHops                               int
+	maxHops, listCap                      int
 	direct, joins, canProbe, cancel, pair bool
 	pull, live                            bool // discovery must be asked; weights change with load
 }
@@ -591,6 +589,7 @@
 		near = f.ZoneBalancers[i]
 	}
 	r.part = 1 / float64(near)
+	r.listCap = int(listCap * math.Sqrt(r.part))
 	r.cold[edge] = cold{c.ColdFrom, c.FallMultiple, float64(near), c.ColdFor}
 	r.cold[parent] = cold{f.ParentColdFrom, f.ParentFallMultiple, float64(max(set.Siblings, 1)), f.ParentColdFor}
 	effects := map[string]effect{"keyed": keyedAll, "keyedzone": keyedZone, "keyedcell": keyedCell,
@@ -695,7 +694,7 @@
 			r.origin = s
 		}
 		if s.listed && s.role == edge && s.zone == r.zone {
-			r.sampleN += 10 * listCap // the paper's ten times the cache size
+			r.sampleN += 10 * r.listCap // the paper's ten times the cache size
 		}
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// Lists of full length hardly filled where many routers share a cache.
+func TestListsShrinkWithTheLocationsRouters(t *testing.T) {
+	r := router(func(s *Settings) { s.Family.ZoneBalancers = []int{0, 16} })
+	if r.listCap != listCap/4 || r.sampleN != 2*10*listCap/4 {
+		t.Fatalf("lists of %d, halved after %d", r.listCap, r.sampleN)
+	}
+}
+
 func TestCountHalvesSketch(t *testing.T) {
 	r := router(nil)
 	r.sketch.sample = r.sampleN - 1
