Count a hop as late from four fifths of its SLA time on

Change: the mark at which a hop counts as late, for limits and sources alike. It should guard against any slow rise of load. It can harm where answers in calm take most of their SLA time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -507,9 +507,7 @@
 func (t *txn) pending() bool { return slices.ContainsFunc(t.hops, func(h hop) bool { return h.out }) }
 
 // taint tells whether rule 2 binds now: a hop may have run or is out.
-func (t *txn) taint() bool {
-	return t.state == tainted || t.pending()
-}
+func (t *txn) taint() bool { return t.state == tainted || t.pending() }
 
 // may tells whether rule 2 lets the txn go to a server now.
 func (r *Router) may(t *txn, s *server) bool {
@@ -950,7 +948,7 @@
 		t.rule.works = sample(t.rule.works, e.RTT)
 	}
 	if e.Code != "ecanceled" && e.Code != "enoent" {
-		r.ended(t, h, e.Code == "done" && r.now-h.sent <= t.sla())
+		r.ended(t, h, e.Code == "done" && !r.overdue(t, h))
 	}
 	if h.kind == fills && !t.rule.write && e.Code != "ecanceled" {
 		r.failed = sample(r.failed, e.Code != "done")
@@ -969,6 +967,10 @@
 	r.step(t, o.txn)
 }
 
+// overdue tells whether a hop counts as late: from four fifths of the SLA time on, so that limits fall before
+// most answers miss it. At two thirds a purge alone kept limits down all day.
+func (r *Router) overdue(t *txn, h *hop) bool { return 5*(r.now-h.sent) > 4*t.sla() }
+
 // ended draws the lessons of a hop, once: at its end or when it is overdue.
 func (r *Router) ended(t *txn, h *hop, timely bool) {
 	if h.overdue || h.server.role == origin || t.rule.write {
@@ -1015,7 +1017,7 @@
 			continue
 		}
 		for i := range t.hops {
-			if h := &t.hops[i]; h.out && r.now-h.sent > t.sla() {
+			if h := &t.hops[i]; h.out && r.overdue(t, h) {
 				r.ended(t, h, false)
 			}
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -376,6 +376,19 @@
 	}
 }
 
+// Limits that fell only once answers missed the SLA time kept a fifth of them late.
+func TestHopCountsAsLateBeforeItsSLATime(t *testing.T) {
+	for share, want := range map[int64]bool{79: false, 81: true} {
+		r := router(nil)
+		get := only(t, r.Handle(begin, request("read"), nil), ActGet)
+		sla := r.txns["t"].sla()
+		r.Handle(begin+sla*share/100, Event{Kind: EvAnswer, Txn: "t", Server: get.Server, Code: "done", Final: true}, nil)
+		if got := r.servers[get.Server].room[fills].late[0]; got != want {
+			t.Fatalf("late %v after %d%% of the SLA time", got, share)
+		}
+	}
+}
+
 // A limit at its floor once stayed there: no hop was out when the last ended.
 func TestLimitRisesFromItsFloor(t *testing.T) {
 	r := router(nil)
