Leave caches of other locations out of what a router keeps

A txn looked through every cache of the fleet to find those of its location, and so did each timer: up to 130 caches at each of 220 routers. Now only the own location's caches, the parents and the origin are kept.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,9 +90,8 @@
 }
 
 // listCap bounds what a router remembers of one edge cache. Lists of 256 or 128 never filled or hardly, so
-// nothing was passed through; 32 kept too little. It is divided by the root of the location's routers: 64
-// hardly filled where ten share a cache, a tenth of it refused what the few txns of one router can't tell
-// apart (simulated, all deployments).
+// nothing was passed through; 32 kept too little. Divided by the root of the location's routers: whole lists
+// of ten hardly filled, a tenth refused what few txns can't tell apart (simulated).
 const listCap = 64
 
 // admit is the design's rule: the rank at which a cache shall keep the object.
@@ -534,7 +533,7 @@
 	sketch         sketch
 	sampleN        int
 	servers        map[string]*server
-	order          []*server // every server ever listed, by id
+	order          []*server // every server of use here that was ever listed, by id
 	origin         *server
 	rules          map[string]*rule
 	txns           map[string]*txn
@@ -661,6 +660,9 @@
 		}
 	}
 	for _, n := range e.Entries {
+		if n.Zone != r.zone && r.kinds[n.Kind] == edge {
+			continue // never asked: what a txn or a timer touches must not grow with the fleet
+		}
 		s := r.servers[n.Server]
 		if s == nil {
 			s = &server{id: n.Server, hash: hash(n.Server), born: n.Born, health: up}
@@ -691,7 +693,7 @@
 		if s.listed && s.role == origin {
 			r.origin = s
 		}
-		if s.listed && s.role == edge && s.zone == r.zone {
+		if s.listed && s.role == edge {
 			r.sampleN += 10 * r.listCap // the paper's ten times the cache size
 		}
 	}
@@ -745,8 +747,7 @@
 	var top float64
 	failed := true
 	for _, s := range r.order {
-		barred := s.role != role || role == edge && (s.zone != r.zone || !r.may(t, s)) || !r.usable(s, work)
-		if barred || fit != nil && !fit(s) {
+		if s.role != role || role == edge && !r.may(t, s) || !r.usable(s, work) || fit != nil && !fit(s) {
 			continue
 		}
 		f := slices.Contains(t.tried, s)
@@ -870,9 +871,8 @@
 		return
 	}
 	// A read that failed goes again only while few of the router's fills do: tries after failures feed a jam,
-	// wherever it is (a crowded origin above all), and many routers trying cost it the writes too. It guards
-	// against any loss of many servers at once; it harms where one cache of few fails and others are well,
-	// until that one rests.
+	// a crowded origin's above all, and cost it the writes too. It guards against any loss of many servers at
+	// once; it harms where one cache of few fails and others are well, until that one rests.
 	if failed, _ := lateOf(r.failed); 4*failed >= window && t.hops[len(t.hops)-1].kind == fills {
 		r.giveUp(t)
 		return
@@ -1001,9 +1001,8 @@
 		if s.health == down && r.now >= s.due {
 			r.judge(s, signDue)
 		}
-		// Silent is a server that has left several hops without a word for far longer than its answers should
-		// take. It answers any cause: a lost machine, a cut link, a long stall. It harms where answers are few
-		// and all of them slow, hence the count; a probe settles it where there is one.
+		// Silent is a server that has left several hops unanswered for far longer than answers take, whatever
+		// the cause. It harms where answers are few and all slow, hence the count; a probe settles it.
 		const unheard = 3
 		if s.out >= unheard && r.now-s.waiting > r.quiet {
 			r.judge(s, signSilent)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -389,6 +389,17 @@
 	}
 }
 
+// Each txn once looked through the caches of every location.
+func TestCachesOfOtherLocationsAreLeftOut(t *testing.T) {
+	r := router(nil)
+	more := []Entry{{Server: "far:1", Zone: "y", Kind: "box", State: "active", Weight: 10}}
+	r.Handle(begin, Event{Kind: EvDiscovery, Scope: "diff", Entries: more}, nil)
+	if r.servers["far:1"] != nil || len(r.order) != len(entries()) {
+		t.Fatalf("%d servers kept of a list of %d of use", len(r.order), len(entries()))
+	}
+	r.Handle(begin, Event{Kind: EvAnswer, Txn: "t", Server: "far:1", Code: "done"}, nil)
+}
+
 // A limit at its floor once stayed there: no hop was out when the last ended.
 func TestLimitRisesFromItsFloor(t *testing.T) {
 	r := router(nil)
