Give a router that starts without caches a limit to go past them

Found on reading: the limit of hops past the caches takes its start from a cache of the own location; a router whose disk list names none had the limit zero, and rejected all its reads until a cache returned. Change: without any cache listed the limit starts at three hops in the router's part.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -659,6 +659,7 @@
 			s.listed = false
 		}
 	}
+	const start = 3 // above any use in calm: answers bring it down; twice and half of it cost (simulated)
 	for _, n := range e.Entries {
 		if n.Zone != r.zone && r.kinds[n.Kind] == edge {
 			continue // never asked: what a txn or a timer touches must not grow with the fleet
@@ -671,7 +672,6 @@
 			r.order = slices.Insert(r.order, at, s)
 		}
 		s.role, s.zone, s.cell, s.weight = r.kinds[n.Kind], n.Zone, n.Cell, max(n.Weight, 0.1)
-		const start = 3 // above any use in calm: answers bring it down
 		if s.room = &r.beyond; s.role == edge {
 			s.room = &s.own
 			for i := range s.room {
@@ -688,6 +688,9 @@
 			s.size = 1 // the same at every router
 		}
 	}
+	for i := range r.beyond {
+		r.beyond[i].limit = cmp.Or(r.beyond[i].limit, start*r.part) // no cache of its own was ever listed
+	}
 	r.sampleN, r.origin = 0, nil
 	for _, s := range r.order {
 		if s.listed && s.role == origin {
@@ -967,8 +970,7 @@
 	r.step(t, o.txn)
 }
 
-// overdue tells whether a hop counts as late: from four fifths of the SLA time on, so that limits fall before
-// most answers miss it. At two thirds a purge alone kept limits down all day.
+// overdue is late, from four fifths of the SLA time on: at two thirds a purge kept limits down all day.
 func (r *Router) overdue(t *txn, h *hop) bool { return 5*(r.now-h.sent) > 4*t.sla() }
 
 // ended draws the lessons of a hop, once: at its end or when it is overdue.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -361,6 +361,15 @@
 	only(t, r.Handle(begin, e, nil), ActReject)
 }
 
+// A router that started while its location was away had no limit to go by, and rejected all.
+func TestRouterWithoutCachesGoesStraightToAParent(t *testing.T) {
+	r := New(settings(), 1)
+	r.Handle(begin, Event{Kind: EvDiscovery, Scope: "snapshot", Entries: entries()[2:]}, nil)
+	if a := only(t, r.Handle(begin, request("read"), nil), ActGet); a.Server != par {
+		t.Fatalf("not straight to the parent: %+v", a)
+	}
+}
+
 // A lost parent once went unseen by routers that name it once in seconds.
 func TestLateFillProbesItsParent(t *testing.T) {
 	r := router(func(s *Settings) { s.Limits.Probes = true })
