Fold what reading the change once more found; decisions unchanged

The limit's part was handed to learn though the router holds it; the search for a better source went round the list although the parent's own share already ruled it out; a probe's sign was read from a map made for it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -269,14 +269,12 @@
 		return
 	}
 	own, all := lateOf(s.late)
-	for _, p := range r.order {
+	if 2*own >= window && slices.ContainsFunc(r.order, func(p *server) bool {
 		l, n := lateOf(p.late)
-		if 2*own >= window && p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all {
-			r.judge(s, signLate)
-			return
-		}
-	}
-	if r.canProbe && s.health == up {
+		return p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all
+	}) {
+		r.judge(s, signLate)
+	} else if r.canProbe && s.health == up {
 		r.judge(s, signSilent)
 	}
 }
@@ -339,19 +337,18 @@
 // all day: a late answer takes the room of one in time, so a limit falls faster than it rises. It answers
 // whatever makes a cache late: its link, its cores, slow fills. It harms where answers are late for a cause
 // that fewer hops don't mend. Limits of many routers add up, and each sees little: the least limit, the step
-// and the window are this router's part of the server (unit). Four samples are the fewest of which one makes
-// a quarter.
-func (r *Router) learn(m *room, unit float64, timely bool) {
+// and the window are this router's part. Four samples are the fewest of which one makes a quarter.
+func (r *Router) learn(m *room, timely bool) {
 	const least, cut, round = 2, 0.7, 200 * ms
 	m.late = sample(m.late, !timely)
-	w := max(int(window*unit), 4)
+	w := max(int(window*r.part), 4)
 	late, _ := lateOf(m.late[max(0, len(m.late)-w):])
 	switch {
 	case timely && m.out+1 >= m.limit/2:
-		m.limit += unit / (2 * m.limit)
+		m.limit += r.part / (2 * m.limit)
 	case !timely && 4*late >= w && r.now-m.cutAt > round:
 		m.cutAt = r.now
-		m.limit = max(min(m.limit, m.out+1)*cut, least*unit)
+		m.limit = max(min(m.limit, m.out+1)*cut, least*r.part)
 	}
 }
 
@@ -620,7 +617,11 @@
 	case EvAbandoned:
 		r.step(t, inFinal)
 	case EvHealth:
-		r.judge(s, map[bool]sign{true: signGood, false: signBad}[e.Code == "done"])
+		sign := signBad
+		if e.Code == "done" {
+			sign = signGood
+		}
+		r.judge(s, sign)
 	case EvPurge:
 		r.purges = append(r.purges, purge{e.Object, e.Group, now - e.Age})
 	case EvTimer:
@@ -736,8 +737,7 @@
 }
 
 // idle tells whether a cache has room for the txns of a jammed one: where one cache is short and others are
-// not, a second copy costs less than a rejection. In a jam of all it must not act, since it would scatter
-// what is kept.
+// not, a second copy costs less than a rejection. In a jam of all it must not act: it would scatter copies.
 func idle(s *server) bool {
 	late, _ := lateOf(s.room[fills].late)
 	return late == 0 && 3*s.room[fills].out < s.room[fills].limit
@@ -883,8 +883,7 @@
 	r.hop(t)
 }
 
-// double sends a second copy while the first is out, or withdraws the first so that its end brings the next
-// hop.
+// double sends a second copy while the first is out, or withdraws the first so that its end brings another.
 func (r *Router) double(t *txn) {
 	switch {
 	case t.rule.effect != repeatable:
@@ -979,7 +978,7 @@
 		return
 	}
 	h.overdue = !timely
-	r.learn(&h.server.room[h.kind], r.part, timely)
+	r.learn(&h.server.room[h.kind], timely)
 	if h.kind != looks && h.server.role == edge {
 		r.supplied(h.source, timely)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -226,16 +226,16 @@
 	r.now = begin
 	m := &room{out: 20, limit: 20}
 	for range 3 {
-		r.learn(m, 1, false)
+		r.learn(m, false)
 	}
 	if m.limit != 20 {
 		t.Fatal("cut before a quarter of the last answers were late")
 	}
-	if r.learn(m, 1, false); m.limit >= 20 {
+	if r.learn(m, false); m.limit >= 20 {
 		t.Fatal("not cut after four late answers")
 	}
 	low := m.limit
-	if r.learn(m, 1, true); m.limit <= low {
+	if r.learn(m, true); m.limit <= low {
 		t.Fatal("not raised by a timely answer")
 	}
 }
@@ -413,7 +413,7 @@
 func TestLimitRisesFromItsFloor(t *testing.T) {
 	r := router(nil)
 	m := &room{limit: 2}
-	if r.learn(m, 1, true); m.limit <= 2 {
+	if r.learn(m, true); m.limit <= 2 {
 		t.Fatal("not raised by the one hop there was room for")
 	}
 }
@@ -421,11 +421,12 @@
 // A router's part of a cache may be less than one hop: then some txns find room, others none.
 func TestLimitBelowOneHopIsAChance(t *testing.T) {
 	r := router(nil)
+	r.part = 0.1
 	m, went := &room{limit: 1}, 0
-	if r.learn(m, 0.1, true); m.limit > 1.06 || m.limit < 1.04 {
+	if r.learn(m, true); m.limit > 1.06 || m.limit < 1.04 {
 		t.Fatalf("limit %v, want half a tenth above one", m.limit)
 	}
-	if r.learn(m, 0.1, false); m.limit > 1 {
+	if r.learn(m, false); m.limit > 1 {
 		t.Fatalf("limit %v after two hops, one late", m.limit)
 	}
 	m.limit = 0.4
