--- /dev/null
+++ b/cmd/quilldoor/serve.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quilldoor/internal/board"
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/config"
+	"quilldoor/internal/core"
+	"quilldoor/internal/front"
+	"quilldoor/internal/upstream"
+)
+
+// router holds the parts together and tells them of each other's news.
+type router struct {
+	log   *logrus.Entry
+	core  *core.Core
+	up    *upstream.Pool
+	front *front.Front
+	limit *config.Limits
+	kick  chan struct{}
+}
+
+func clock() int64 { return time.Now().UnixMicro() }
+
+func serve(c *config.Config, known *board.News, logger *logrus.Logger) error {
+	runtime.GOMAXPROCS(max(int(c.Cores), 1))
+	debug.SetMemoryLimit(c.Limits.Memory)
+	set := c.Settings.Logic()
+	r := &router{log: logger.WithField("router", c.Name), limit: c.Limits, kick: make(chan struct{}, 1)}
+	r.core = core.New(&set, c.Seed, func() {
+		select {
+		case r.kick <- struct{}{}:
+		default:
+		}
+	})
+	bodies := buffer.NewPool(c.Limits.Held)
+	c.Limits.Fault = func(server string) {
+		r.log.WithField("server", server).Warn("server broke the protocol, connection closed")
+	}
+	r.up = upstream.New(c.Limits, bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) })
+	r.front = front.New(r.core, r.up, bodies, c.Limits)
+	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": set.Zone,
+		"rules": len(set.Rules), "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
+		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
+
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+
+	follower := board.New(c.Board, c.Limits, r)
+	follower.Apply(known)
+	go follower.Run(ctx)
+	go r.attend(ctx)
+	served := make(chan error, 1)
+	go func() { served <- r.front.Serve(l) }()
+
+	select {
+	case err := <-served:
+		return fmt.Errorf("listen: %w", err)
+	case s := <-term:
+		r.log.WithField("signal", s.String()).Info("shutting down, still accepting")
+	}
+	// What is under way towards the listener when the signal comes is still taken.
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(c.Limits.AcceptOn))
+	<-served
+	l.Close()
+	time.Sleep(c.Limits.ServeOn)
+	left := r.front.Drain(c.Limits.LongestTxn + c.Limits.ReplySlack)
+	r.up.Close()
+	txns, _ := r.core.Count()
+	r.log.WithFields(logrus.Fields{"clients_left": left, "txns_left": txns}).Info("stopped")
+	return nil
+}
+
+// attend does what time brings: the module's timers, hops' time-outs, probes,
+// idle connections.
+func (r *router) attend(ctx context.Context) {
+	const sweepEvery = time.Second
+	probes, swept := 0, time.Now()
+	for {
+		next, errands := r.core.Run(clock())
+		for _, o := range errands {
+			switch o.Kind {
+			case core.Probe:
+				probes++
+				r.probe(o.Server, "p"+strconv.Itoa(probes))
+			case core.Disconnect:
+				r.up.Disconnect(o.Server)
+			case core.Log:
+				r.log.Info(o.Text)
+			case core.Drop:
+				o.Hop.Carrier.Drop(o.Silent)
+			}
+		}
+		if now := time.Now(); now.Sub(swept) >= sweepEvery {
+			swept = now
+			r.up.Sweep(now)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.kick:
+		case <-time.After(time.Until(time.UnixMicro(next))):
+		}
+	}
+}
+
+// probe sends one, and counts it as timed out if a connection's time passes.
+func (r *router) probe(s *core.Server, tag string) {
+	sent := clock()
+	r.up.Probe(s, tag, func(ok bool) {
+		code := "done"
+		if !ok {
+			code = "econnrefused"
+		}
+		r.core.Probed(clock(), s.Server, code, clock()-sent)
+	})
+	time.AfterFunc(r.limit.Connect, func() {
+		if r.up.Unprobe(s, tag) {
+			r.core.Probed(clock(), s.Server, "etimedout", clock()-sent)
+		}
+	})
+}
+
+// Members takes changes of the list of servers.
+func (r *router) Members(scope string, list []core.Server) {
+	r.up.Retire(r.core.Members(clock(), scope, list))
+	for _, s := range list {
+		r.log.WithFields(logrus.Fields{"server": s.Server, "endpoint": s.Endpoint, "zone": s.Zone, "kind": s.Kind,
+			"state": s.State, "born_ms": s.Born / 1000}).Debug("listed")
+	}
+	_, servers := r.core.Count()
+	r.log.WithFields(logrus.Fields{"scope": scope, "changes": len(list), "servers": servers}).Info("list changed")
+	if r.front.Ready() {
+		r.log.Info("ready")
+	}
+}
+
+// Purge takes a purge.
+func (r *router) Purge(object string, group, at int64) {
+	r.core.Purge(clock(), object, group, at)
+	r.log.WithFields(logrus.Fields{"object": object, "group": group, "age_ms": (clock() - at) / 1000}).Debug("purge")
+}
+
+// BoardLost tells of the first failed poll in a row.
+func (r *router) BoardLost(err error) {
+	r.log.WithError(err).Warn("notice board lost, the last list stays")
+}
+
+// BoardBack tells that polls go through again.
+func (r *router) BoardBack() { r.log.Info("notice board back") }
--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,229 @@
+// Package board follows the notice board: changes of the list of servers and
+// purges, as numbered events, by long polls.
+package board
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/config"
+	"quilldoor/internal/core"
+	"quilldoor/internal/http1"
+	"quilldoor/logic"
+)
+
+// Sink takes the events, in order. At is in whole microseconds of Unix time.
+type Sink interface {
+	Members(scope string, list []core.Server)
+	Purge(object string, group, at int64)
+	BoardLost(err error) // after the first failed poll in a row
+	BoardBack()
+}
+
+// News is the form of the board's answers, and of what is known at the start.
+type News struct {
+	Rev     int64
+	Notices []notice
+}
+
+type notice struct {
+	Rev  int64
+	Pool *struct {
+		All     bool
+		Targets []target
+	}
+	Flush *struct {
+		Asset      *string
+		Collection *int64
+		MS         int64
+	}
+}
+
+type target struct {
+	UID, Endpoint, AZ, Model, State string
+	PodGroup                        int     `json:"pod_group"`
+	CapacityHint                    float64 `json:"capacity_hint"`
+	BootMS                          float64 `json:"boot_ms"`
+}
+
+var states = map[string]string{"ready": "active", "draining": "leaving", "gone": "left"}
+
+// Parse reads news and checks that all of it can be used.
+func Parse(text []byte) (*News, error) {
+	var n News
+	if err := json.Unmarshal(text, &n); err != nil {
+		return nil, err
+	}
+	for _, e := range n.Notices {
+		if e.Flush != nil && e.Flush.Asset == nil && e.Flush.Collection == nil {
+			return nil, fmt.Errorf("notice %d: flush without asset or collection", e.Rev)
+		}
+		if e.Pool == nil {
+			continue
+		}
+		for _, t := range e.Pool.Targets {
+			if !config.Word(t.UID) || states[t.State] == "" {
+				return nil, fmt.Errorf("notice %d: target %.40q in state %.20q", e.Rev, t.UID, t.State)
+			}
+		}
+	}
+	return &n, nil
+}
+
+// Follower knows how far the board was followed.
+type Follower struct {
+	addr   string
+	limits *config.Limits
+	sink   Sink
+	rev    int64
+	whole  bool // a whole list has come
+}
+
+// New makes a follower of the board at an address.
+func New(addr string, limits *config.Limits, sink Sink) *Follower {
+	return &Follower{addr: addr, limits: limits, sink: sink}
+}
+
+// Apply hands on what is new in n.
+func (f *Follower) Apply(n *News) {
+	for _, e := range n.Notices {
+		if e.Rev <= f.rev {
+			continue
+		}
+		f.rev = e.Rev
+		if e.Pool != nil {
+			scope := "diff"
+			switch {
+			case !f.whole:
+				scope = "disk"
+			case e.Pool.All:
+				scope = "snapshot"
+			}
+			f.whole = true
+			var list []core.Server
+			for _, t := range e.Pool.Targets {
+				list = append(list, core.Server{Endpoint: t.Endpoint, Entry: logic.Entry{
+					Server: t.UID, Zone: t.AZ, Kind: t.Model, Cell: t.PodGroup, State: states[t.State],
+					Weight: t.CapacityHint, Born: int64(t.BootMS * 1000)}})
+			}
+			f.sink.Members(scope, list)
+		}
+		if p := e.Flush; p != nil {
+			var object string
+			var group int64
+			if p.Asset != nil {
+				object = *p.Asset
+			} else {
+				group = *p.Collection
+			}
+			f.sink.Purge(object, group, p.MS*1000)
+		}
+	}
+	f.rev = max(f.rev, n.Rev)
+}
+
+// Run polls until the context ends. After a failure the last list stays.
+func (f *Follower) Run(ctx context.Context) {
+	var c *conn
+	wait, lost := time.Duration(0), false
+	for ctx.Err() == nil {
+		var err error
+		if c == nil {
+			c, err = f.dial(ctx)
+		}
+		var news *News
+		if err == nil {
+			news, err = f.poll(c)
+		}
+		if err == nil {
+			if lost {
+				f.sink.BoardBack()
+			}
+			f.Apply(news)
+			wait, lost = 0, false
+			continue
+		}
+		if c != nil {
+			c.stop()
+			c = nil
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !lost {
+			f.sink.BoardLost(err)
+		}
+		lost = true
+		wait = min(max(2*wait, f.limits.RetryFirst), f.limits.RetryMost)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	if c != nil {
+		c.stop()
+	}
+}
+
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	unget func() bool // ends the watch on the context
+}
+
+func (c *conn) stop() {
+	c.unget()
+	c.Close()
+}
+
+func (f *Follower) dial(ctx context.Context) (*conn, error) {
+	d := net.Dialer{Timeout: f.limits.PollSlack}
+	sock, err := d.DialContext(ctx, "tcp", f.addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{sock, bufio.NewReaderSize(sock, buffer.Size), context.AfterFunc(ctx, func() { sock.Close() })}, nil
+}
+
+// poll asks for what comes behind the last event. A connection that the board
+// means to close is not used again, which the next poll finds out.
+func (f *Follower) poll(c *conn) (*News, error) {
+	target := "/board/poll?watch=" + strconv.FormatInt(f.rev, 10) +
+		"&linger=" + strconv.FormatInt(f.limits.Linger.Milliseconds(), 10)
+	c.SetDeadline(time.Now().Add(f.limits.Linger + f.limits.PollSlack))
+	if _, err := c.Write(http1.AppendRequest(nil, "GET", target, http1.Field{Name: "Host", Value: f.addr})); err != nil {
+		return nil, err
+	}
+	h, err := http1.ReadResponse(c.r, http1.Bounds{Bytes: f.limits.Head, Fields: f.limits.Fields, Body: f.limits.News})
+	if err != nil {
+		return nil, err
+	}
+	if h.Status != 200 {
+		return nil, fmt.Errorf("status %d", h.Status)
+	}
+	var body []byte
+	if h.Length >= 0 {
+		body = make([]byte, h.Length)
+		_, err = io.ReadFull(c.r, body)
+	} else {
+		body, err = io.ReadAll(io.LimitReader(c.r, int64(f.limits.News)+1))
+		if len(body) > f.limits.News {
+			err = errors.New("answer too long")
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	if h.Close || h.Length < 0 {
+		c.Close()
+	}
+	return Parse(body)
+}
--- /dev/null
+++ b/internal/buffer/buffer.go
@@ -0,0 +1,113 @@
+// Package buffer hands out buffers of one size from a pool and bounds how many
+// bytes of bodies are held at once.
+package buffer
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// Size of every buffer.
+const Size = 16 << 10
+
+// ErrFull says that the bound on bytes held is reached. The body was read to
+// its end and thrown away, so its connection can go on.
+var ErrFull = errors.New("no room for the body")
+
+// Pool holds buffers for use again.
+type Pool struct {
+	free sync.Pool
+	left atomic.Int64
+}
+
+// NewPool bounds the bytes held in bodies.
+func NewPool(bytes int64) *Pool {
+	p := &Pool{free: sync.Pool{New: func() any { return new([Size]byte) }}}
+	p.left.Store(bytes)
+	return p
+}
+
+func (p *Pool) get() *[Size]byte {
+	if p.left.Add(-Size) < 0 {
+		p.left.Add(Size)
+		return nil
+	}
+	return p.free.Get().(*[Size]byte)
+}
+
+// Body is a message body in pooled buffers. It starts with one holder.
+type Body struct {
+	pool    *Pool
+	chunks  []*[Size]byte
+	length  int
+	holders atomic.Int32
+}
+
+// Read takes n bytes from r. A slow sender holds only the buffers it has filled.
+func (p *Pool) Read(r io.Reader, n int) (*Body, error) {
+	b := &Body{pool: p}
+	b.holders.Store(1)
+	for b.length < n {
+		chunk := p.get()
+		if chunk == nil {
+			rest := int64(n - b.length)
+			b.Release()
+			if _, err := io.CopyN(io.Discard, r, rest); err != nil {
+				return nil, err
+			}
+			return nil, ErrFull
+		}
+		b.chunks = append(b.chunks, chunk)
+		want := min(n-b.length, Size)
+		if _, err := io.ReadFull(r, chunk[:want]); err != nil {
+			b.Release()
+			return nil, err
+		}
+		b.length += want
+	}
+	return b, nil
+}
+
+// Len is the number of bytes; a nil Body has none.
+func (b *Body) Len() int {
+	if b == nil {
+		return 0
+	}
+	return b.length
+}
+
+// Append adds the body's buffers to a list for one write.
+func (b *Body) Append(list [][]byte) [][]byte {
+	if b == nil {
+		return list
+	}
+	left := b.length
+	for _, c := range b.chunks {
+		n := min(left, Size)
+		list = append(list, c[:n])
+		left -= n
+	}
+	return list
+}
+
+// Hold adds a holder.
+func (b *Body) Hold() *Body {
+	if b != nil {
+		b.holders.Add(1)
+	}
+	return b
+}
+
+// Release ends one holder's use; with the last, the buffers go back.
+func (b *Body) Release() {
+	if b == nil || b.holders.Add(-1) != 0 {
+		return
+	}
+	for _, c := range b.chunks {
+		b.pool.free.Put(c)
+		b.pool.left.Add(Size)
+	}
+	b.chunks = nil
+}
--- /dev/null
+++ b/internal/core/txn.go
@@ -0,0 +1,103 @@
+package core
+
+import "sync/atomic"
+
+// OrderKind tells what an Order asks for.
+type OrderKind uint8
+
+// The orders of a txn, then those of no txn in particular.
+const (
+	Send       OrderKind = iota // put the hop on a connection
+	Drop                        // give the hop up
+	Completed                   // answer with Reply
+	Rejected                    // answer that trying again is harmless, Stay from now
+	Aborted                     // answer that it failed
+	Probe                       // ask the server whether it is there
+	Disconnect                  // close idle connections to the server
+	Log                         // write Text to the log
+)
+
+// Order is one thing to do on the sockets.
+type Order struct {
+	Kind   OrderKind
+	Hop    *Hop
+	Silent bool // of Drop: its time ran out without an answer
+	Reply  Reply
+	Stay   int64
+	Server *Server
+	Text   string
+}
+
+// Txn is one open txn.
+type Txn struct {
+	ID       string
+	core     *Core
+	deadline int64
+	closed   bool
+	hops     []*Hop
+	out      int // hops that have not ended
+	box      []Order
+	wake     func() // nil once nobody reads the mailbox
+}
+
+func (t *Txn) post(o Order) {
+	if t.wake != nil {
+		t.box = append(t.box, o)
+		t.wake()
+		return
+	}
+	t.core.errands = append(t.core.errands, o)
+	t.core.kick()
+}
+
+// Take empties the mailbox.
+func (t *Txn) Take() []Order {
+	t.core.mu.Lock()
+	defer t.core.mu.Unlock()
+	box := t.box
+	t.box = nil
+	return box
+}
+
+// Detach says that the mailbox is read no more: wake is not called again, and
+// what still comes becomes an errand. It returns what is left.
+func (t *Txn) Detach() []Order {
+	t.core.mu.Lock()
+	defer t.core.mu.Unlock()
+	box := t.box
+	t.box, t.wake = nil, nil
+	return box
+}
+
+// Hop is one attempt of a txn at a server.
+type Hop struct {
+	Txn    *Txn
+	N      int
+	Server *Server
+	Source string // "": a miss is not filled
+	Rank   int
+	Age    int64 // whole microseconds; 0: the fresh time of the class
+	Mode   int
+	Due    int64 // when the router stops waiting
+	// Carrier has the hop on the sockets, once it was sent.
+	Carrier interface{ Drop(silent bool) }
+
+	sent  int64
+	ended bool
+	state atomic.Uint32
+}
+
+const (
+	waiting   uint32 = iota // not a byte of it is on a connection
+	begun                   // it may have come whole
+	withdrawn               // it will not be written
+)
+
+// Begin claims the hop for being written; false: it was withdrawn.
+func (h *Hop) Begin() bool { return h.state.CompareAndSwap(waiting, begun) }
+
+// Withdraw tells whether it is proven that the hop was not written and will
+// not be.
+func (h *Hop) Withdraw() bool {
+	return h.state.CompareAndSwap(waiting, withdrawn) || h.state.Load() == withdrawn
+}
--- /dev/null
+++ b/internal/front/txn.go
@@ -0,0 +1,184 @@
+package front
+
+import (
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/config"
+	"quilldoor/internal/core"
+	"quilldoor/internal/http1"
+	"quilldoor/internal/upstream"
+	"quilldoor/logic"
+)
+
+// ask is what a client asked for.
+type ask struct {
+	event logic.Event
+	tag   string // of the client's copy, bare
+	body  *buffer.Body
+	first time.Time // when the request began to come
+	ttl   time.Duration
+}
+
+// parse reads a txn's target and headers; the status answers one that is wrong.
+func (f *Front) parse(h *http1.Head) (*ask, int) {
+	// /rpc/CLASS/OBJECT or /rpc/CLASS/OBJECT/n-PART
+	part := strings.Split(strings.TrimPrefix(h.Target, "/rpc/"), "/")
+	if !strings.HasPrefix(h.Target, "/rpc/") || len(part) < 2 || len(part) > 3 {
+		return nil, 404
+	}
+	rule, known := f.core.Rule(part[0])
+	if !known {
+		return nil, 404
+	}
+	if want := map[bool]string{true: "PUT", false: "GET"}[rule.Write]; h.Method != want {
+		return nil, 405
+	}
+	a := &ask{event: logic.Event{Rule: rule.Name, Object: part[1], Write: rule.Write}}
+	ok := config.Word(part[1])
+	if len(part) == 3 {
+		n, named := strings.CutPrefix(part[2], "n-")
+		ok = number(n, 1<<31, &a.event.Part) && named && ok
+	}
+	id, _ := h.Get("x-txn")
+	ok = ok && len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == ""
+	a.event.Txn = id
+	var ttl int64
+	left, _ := h.Get("x-ttl-ms")
+	ok = ok && number(left, 1<<31, &ttl) && ttl > 0
+	a.ttl = min(time.Duration(ttl)*time.Millisecond, f.limits.LongestTxn)
+	group, _ := h.Get("x-shard")
+	ok = ok && number(group, 255, &a.event.Group)
+	if again, told := h.Get("x-second-try"); told {
+		ok = ok && (again == "1" || again == "0")
+		a.event.Repeat = again == "1"
+	}
+	if tag, told := h.Get("if-none-match"); told {
+		a.tag = strings.Trim(strings.TrimPrefix(tag, "W/"), `"`)
+		if !config.Word(a.tag) {
+			a.tag = "" // a list, or any copy at all: nothing that could be passed on
+		}
+	}
+	if !ok {
+		return nil, 400
+	}
+	return a, 0
+}
+
+// number reads a whole number of digits only.
+func number(text string, most int64, to *int64) bool {
+	v, err := strconv.ParseUint(text, 10, 63)
+	*to = int64(v)
+	return err == nil && text[0] != '+' && *to <= most
+}
+
+// txn is the life of a txn, from the request to its answer. The module is asked
+// when it comes, when a hop ends, when a timer falls due and when the client
+// leaves; what it decides comes to the mailbox. False: the connection must end.
+func (f *Front) txn(c *client, a *ask, last bool) bool {
+	limit := a.first.Add(a.ttl)
+	now := time.Now()
+	a.event.Remaining = limit.Sub(now).Microseconds()
+	if a.event.Remaining <= 0 { // it waited in our buffers for all of its time
+		return f.plain(c, 504, last)
+	}
+	arrived := make(chan struct{}, 1)
+	t, err := f.core.Open(now.UnixMicro(), a.event, func() {
+		select {
+		case arrived <- struct{}{}:
+		default:
+		}
+		c.SetReadDeadline(now) // wakes the wait below
+	})
+	switch err {
+	case core.ErrFull:
+		return f.plain(c, 503, last)
+	case core.ErrTwin:
+		return f.plain(c, 400, last)
+	}
+	for here := true; ; {
+		var final *core.Order
+		for _, o := range t.Take() {
+			switch o.Kind {
+			case core.Send:
+				flight := &upstream.Flight{Hop: o.Hop, Class: a.event.Rule, Object: a.event.Object,
+					Part: a.event.Part, Tag: a.tag, Body: a.body}
+				o.Hop.Carrier = flight
+				f.up.Send(flight)
+			case core.Drop:
+				o.Hop.Carrier.Drop(o.Silent)
+			default:
+				final = &o
+			}
+		}
+		if final != nil || !here {
+			for _, o := range t.Detach() {
+				o.Hop.Carrier.Drop(o.Silent)
+			}
+			return here && f.answer(c, final, limit, last)
+		}
+		if here = f.wait(c, arrived); !here {
+			f.core.Leave(time.Now().UnixMicro(), t)
+		}
+	}
+}
+
+// wait returns when the mailbox has something, or false once the client has
+// left. It sees both by one read that the mailbox's bell cuts short. A client
+// that sends on early can't be watched any further.
+func (f *Front) wait(c *client, arrived <-chan struct{}) bool {
+	c.SetReadDeadline(time.Time{})
+	select {
+	case <-arrived: // the bell may have rung before the deadline was taken away
+		return true
+	default:
+	}
+	_, err := c.r.Peek(1)
+	if err == nil {
+		if c.first.IsZero() {
+			c.first = time.Now()
+		}
+		<-arrived
+		return true
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		select {
+		case <-arrived:
+		default:
+		}
+		return true
+	}
+	return false
+}
+
+// answer writes the final answer.
+func (f *Front) answer(c *client, o *core.Order, limit time.Time, last bool) bool {
+	status, length := 504, 0
+	var fields []http1.Field
+	bufs := net.Buffers{nil}
+	switch o.Kind {
+	case core.Rejected:
+		status = 503
+		if o.Stay > 0 {
+			fields = append(fields, http1.Field{Name: "X-Throttle-Ms", Value: strconv.FormatInt(o.Stay/1000, 10)})
+		}
+	case core.Completed:
+		r := o.Reply.(*upstream.Reply)
+		defer r.Release()
+		if status = 200; r.Same {
+			status = 304
+		}
+		length = r.Len()
+		bufs = r.Append(bufs)
+		if r.Tag != "" {
+			fields = append(fields, http1.Field{Name: "ETag", Value: `"` + r.Tag + `"`})
+		}
+	}
+	bufs[0] = http1.AppendResponse(nil, status, length, last, fields...)
+	return f.write(c, limit.Add(f.limits.ReplySlack), bufs...) == nil
+}
--- /dev/null
+++ b/internal/lines/lines.go
@@ -0,0 +1,200 @@
+// Package lines is the codec of the cache servers' protocol: lines of words
+// that end in CR LF, with bodies of a told length behind them.
+package lines
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Get is one hop's command. Times are milliseconds.
+type Get struct {
+	ID, Class, Object string
+	Part              int64
+	Budget            int64
+	Source            string // "": a miss is not filled
+	Rank              int
+	Age               int64 // 0: the fresh time of the class
+	Mode              int   // bits, as the module has them
+	Tag               string
+	Length            int
+}
+
+// modeWords stand in the order of the mode's bits.
+var modeWords = []string{"wait-for", "no-fetch", "no-keep", "background"}
+
+// AppendGet writes the command up to where the body follows.
+func AppendGet(b []byte, g *Get) []byte {
+	b = append(b, "GET "...)
+	b = append(b, g.ID...)
+	b = append(b, " queue="...)
+	b = append(b, g.Class...)
+	b = append(b, ",path="...)
+	b = append(b, g.Object...)
+	b = append(b, ",blk="...)
+	b = strconv.AppendInt(b, g.Part, 10)
+	b = append(b, ",budget="...)
+	b = strconv.AppendInt(b, g.Budget, 10)
+	if g.Source != "" {
+		b = append(append(b, ",miss="...), g.Source...)
+	}
+	if g.Rank > 0 {
+		b = strconv.AppendInt(append(b, ",prio="...), int64(g.Rank), 10)
+	}
+	if g.Age > 0 {
+		b = strconv.AppendInt(append(b, ",within="...), g.Age, 10)
+	}
+	sep := ",f="
+	for i, word := range modeWords {
+		if g.Mode>>i&1 == 1 {
+			b = append(append(b, sep...), word...)
+			sep = "+"
+		}
+	}
+	if g.Tag != "" {
+		b = append(append(b, ",mine="...), g.Tag...)
+	}
+	b = append(b, ' ')
+	b = strconv.AppendInt(b, int64(g.Length), 10)
+	return append(b, "\r\n"...)
+}
+
+// AppendDrop writes the command that gives a hop up.
+func AppendDrop(b []byte, id string) []byte {
+	return append(append(append(b, "DROP "...), id...), "\r\n"...)
+}
+
+// AppendPing writes a probe.
+func AppendPing(b []byte, tag string) []byte {
+	return append(append(append(b, "PING "...), tag...), "\r\n"...)
+}
+
+// Word is what an answer says.
+type Word uint8
+
+// The words of answers.
+const (
+	Ack   Word = iota + 1 // ok, with the bytes
+	NoMod                 // ok, the client's copy is the one
+	NoEnt                 // miss
+	Again                 // full
+	EIO                   // error
+	Stale                 // was over already
+	Ready                 // to a probe
+)
+
+var words = map[string]Word{"ACK": Ack, "NOMOD": NoMod, "NOENT": NoEnt, "AGAIN": Again, "EIO": EIO,
+	"STALE": Stale, "READY": Ready}
+
+// notes stand in the order of the simulator's numbers, from 1.
+var notes = map[string]int{"HIT": 1, "MISS": 2, "MISS_ORIGIN": 3, "COLLAPSED": 4, "STALE": 5, "UP_BUSY": 6,
+	"UP_DOWN": 7, "UP_MISS": 8, "NO_FILL": 9, "ORIGIN_ERR": 10}
+
+// Answer is one answer's line; Length bytes and CR LF follow it.
+type Answer struct {
+	ID     string
+	Word   Word
+	Tag    string
+	Issued int64 // Unix milliseconds at which the origin gave the copy out
+	Note   int
+	Delay  float64 // milliseconds
+	Load   map[string]float64
+	Length int
+}
+
+// ErrBroken is behind every error about what a peer wrote.
+var ErrBroken = errors.New("broken answer")
+
+func broken(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrBroken, fmt.Sprintf(format, args...))
+}
+
+// ReadAnswer reads one line. A line must fit into r's buffer, a body within most.
+func ReadAnswer(r *bufio.Reader, most int) (a Answer, err error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return a, broken("line too long")
+	}
+	if err != nil {
+		return a, err
+	}
+	line, crlf := bytes.CutSuffix(line, []byte("\r\n"))
+	if !crlf {
+		return a, broken("line without CR")
+	}
+	part := strings.Split(string(line), " ")
+	if len(part) == 2 && part[1] == "READY" {
+		return Answer{ID: part[0], Word: Ready, Length: -1}, nil
+	}
+	if len(part) != 4 || part[0] == "" {
+		return a, broken("%d words", len(part))
+	}
+	a.ID, a.Word = part[0], words[part[1]]
+	if a.Word == 0 {
+		return a, broken("unknown word %.20q", part[1])
+	}
+	n, err := strconv.ParseUint(part[3], 10, 31)
+	if err != nil || int(n) > most {
+		return a, broken("length %.20q", part[3])
+	}
+	a.Length = int(n)
+	return a, a.fields(part[2])
+}
+
+func (a *Answer) fields(text string) (err error) {
+	if text == "-" {
+		return nil
+	}
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(field, "=")
+		if !ok {
+			return broken("field %.20q", field)
+		}
+		switch name {
+		case "entity":
+			a.Tag = value
+		case "issued":
+			a.Issued, err = strconv.ParseInt(value, 10, 64)
+		case "detail":
+			a.Note = notes[value] // an unknown note tells nothing
+		case "delay":
+			a.Delay, err = strconv.ParseFloat(value, 64)
+		case "use":
+			a.Load, err = load(value)
+		}
+		if err != nil {
+			return broken("field %.40q", field)
+		}
+	}
+	return nil
+}
+
+func load(text string) (map[string]float64, error) {
+	out := map[string]float64{}
+	for pair := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(pair, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return nil, err
+		}
+		out[name] = v
+	}
+	return out, nil
+}
+
+// ReadEnd reads the CR LF behind a body.
+func ReadEnd(r *bufio.Reader) error {
+	end, err := r.Peek(2)
+	if err != nil {
+		return err
+	}
+	if string(end) != "\r\n" {
+		return broken("body without CR LF behind it")
+	}
+	_, err = r.Discard(2)
+	return err
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,286 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/core"
+	"quilldoor/internal/lines"
+)
+
+// item is one thing to write.
+type item struct {
+	flight     *Flight
+	drop, ping string
+}
+
+// conn is one connection. Its books are under the pool's lock.
+type conn struct {
+	pool    *Pool
+	peer    *peer
+	open    map[string]*Flight
+	dropped map[string]time.Time // hops given up, whose answers may still come
+	probes  map[string]func(ok bool)
+	queue   []item
+	up      bool // the connection stands
+	writing bool // somebody empties the queue
+	suspect bool // said nothing for as long as a hop had
+	closing bool // ends with its hops
+	dead    bool
+
+	idleSince, heard time.Time
+	cancel           context.CancelFunc // of the dial
+	sock             net.Conn
+}
+
+func (p *Pool) dial(r *peer) *conn {
+	ctx, cancel := context.WithTimeout(context.Background(), p.limits.Connect)
+	c := &conn{pool: p, peer: r, open: map[string]*Flight{}, dropped: map[string]time.Time{},
+		probes: map[string]func(bool){}, cancel: cancel}
+	r.conns = append(r.conns, c)
+	p.total++
+	go c.run(ctx)
+	return c
+}
+
+func (c *conn) idle() bool { return c.up && len(c.open) == 0 && len(c.probes) == 0 }
+
+// rest notes that the connection may have become idle, and closes one that is
+// to take nothing new.
+func (c *conn) rest() {
+	if len(c.open) > 0 || len(c.probes) > 0 {
+		return
+	}
+	c.idleSince = time.Now()
+	if c.suspect || c.closing {
+		c.shut()
+	}
+}
+
+// shut takes the connection off the books and ends its goroutine.
+func (c *conn) shut() {
+	if c.dead {
+		return
+	}
+	c.dead = true
+	c.pool.total--
+	for i, other := range c.peer.conns {
+		if other == c {
+			c.peer.conns = append(c.peer.conns[:i], c.peer.conns[i+1:]...)
+			break
+		}
+	}
+	c.cancel()
+	if c.sock != nil {
+		c.sock.Close()
+	}
+}
+
+// run is the life of a connection.
+func (c *conn) run(ctx context.Context) {
+	sock, err := new(net.Dialer).DialContext(ctx, "tcp", c.peer.endpoint)
+	if err != nil {
+		c.fail(false)
+		return
+	}
+	c.pool.mu.Lock()
+	if c.dead {
+		c.pool.mu.Unlock()
+		sock.Close()
+		c.fail(false)
+		return
+	}
+	c.sock, c.up, c.writing, c.heard = sock, true, true, time.Now()
+	c.pool.mu.Unlock()
+	c.flush()
+	c.fail(c.read())
+}
+
+// put queues something, and writes unless somebody does already or the
+// connection doesn't stand yet. It is called with the pool's lock, which it
+// gives back.
+func (c *conn) put(i item) {
+	c.queue = append(c.queue, i)
+	write := c.up && !c.writing && !c.dead
+	c.writing = c.writing || write
+	c.pool.mu.Unlock()
+	if write {
+		c.flush()
+	}
+}
+
+// flush writes until the queue is empty. A peer that takes nothing in for the
+// time of a write loses the connection.
+func (c *conn) flush() {
+	for {
+		c.pool.mu.Lock()
+		batch := c.queue
+		c.queue = nil
+		if len(batch) == 0 || c.dead {
+			c.writing = false
+			c.pool.mu.Unlock()
+			return
+		}
+		now := time.Now()
+		for _, i := range batch {
+			if i.flight != nil {
+				i.flight.written = now
+			}
+		}
+		c.pool.mu.Unlock()
+		if !c.write(batch, now) {
+			c.pool.mu.Lock()
+			c.shut()
+			c.pool.mu.Unlock()
+		}
+	}
+}
+
+// write puts a batch on the wire. Hops whose last byte was not taken can't have
+// come whole, so that they are proven not to have run.
+func (c *conn) write(batch []item, now time.Time) bool {
+	var bufs net.Buffers
+	ends := make([]int64, len(batch))
+	var size int64
+	add := func(b []byte) {
+		bufs = append(bufs, b)
+		size += int64(len(b))
+	}
+	for i, it := range batch {
+		switch {
+		case it.flight == nil && it.drop != "":
+			add(lines.AppendDrop(nil, it.drop))
+		case it.flight == nil:
+			add(lines.AppendPing(nil, it.ping))
+		case it.flight.Hop.Begin():
+			add(lines.AppendGet(make([]byte, 0, 256), it.flight.command(now.UnixMicro())))
+			for _, b := range it.flight.Body.Append(nil) {
+				add(b)
+			}
+			add([]byte("\r\n"))
+		}
+		ends[i] = size
+	}
+	if size == 0 {
+		return true
+	}
+	c.sock.SetWriteDeadline(now.Add(c.pool.limits.Write))
+	n, err := bufs.WriteTo(c.sock)
+	for i, it := range batch {
+		if it.flight == nil {
+			continue
+		}
+		it.flight.Body.Release()
+		if err != nil && ends[i] > n {
+			c.pool.ended(it.flight.Hop, core.Outcome{Code: "econnrefused"})
+		}
+	}
+	return err == nil
+}
+
+// read takes answers until the connection ends; true: the peer broke the
+// protocol.
+func (c *conn) read() bool {
+	r := bufio.NewReaderSize(c.sock, buffer.Size)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return false
+		}
+		c.sock.SetReadDeadline(time.Now().Add(c.pool.limits.Frame))
+		a, err := lines.ReadAnswer(r, c.pool.limits.Answer)
+		if err != nil {
+			return errors.Is(err, lines.ErrBroken)
+		}
+		if err := c.answer(r, &a); err != nil {
+			return errors.Is(err, lines.ErrBroken)
+		}
+		c.sock.SetReadDeadline(time.Time{})
+	}
+}
+
+var codes = map[lines.Word]string{lines.Ack: "done", lines.NoMod: "done", lines.NoEnt: "enoent",
+	lines.Again: "busy", lines.EIO: "err", lines.Stale: "skipped"}
+
+// answer reads an answer's body and ends its hop.
+func (c *conn) answer(r *bufio.Reader, a *lines.Answer) error {
+	p := c.pool
+	p.mu.Lock()
+	c.heard = time.Now()
+	f, probe := c.open[a.ID], c.probes[a.ID]
+	_, dropped := c.dropped[a.ID]
+	p.mu.Unlock()
+	if f == nil && probe == nil && !dropped || (a.Word == lines.Ready) != (probe != nil) {
+		return lines.ErrBroken // it answers nothing that was asked
+	}
+	var body *buffer.Body
+	var full error
+	if a.Length >= 0 {
+		if body, full = p.bodies.Read(r, a.Length); full != nil && full != buffer.ErrFull {
+			return full
+		}
+		if err := lines.ReadEnd(r); err != nil {
+			body.Release()
+			return err
+		}
+	}
+	p.mu.Lock()
+	c.heard = time.Now()
+	mine := f != nil && c.open[a.ID] == f
+	if mine {
+		delete(c.open, a.ID)
+	}
+	delete(c.dropped, a.ID)
+	delete(c.probes, a.ID)
+	c.rest()
+	p.mu.Unlock()
+	if probe != nil {
+		probe(true)
+	}
+	if !mine {
+		body.Release()
+		return nil
+	}
+	o := core.Outcome{Code: codes[a.Word], Note: a.Note, Waited: int64(a.Delay * 1000), Load: a.Load}
+	switch {
+	case full != nil:
+		o.Code = "err"
+	case o.Code == "done":
+		o.Reply = &Reply{body, a.Tag, a.Word == lines.NoMod}
+	default:
+		body.Release()
+	}
+	p.ended(f.Hop, o)
+	return nil
+}
+
+// fail ends what is left on the connection.
+func (c *conn) fail(broke bool) {
+	p := c.pool
+	p.mu.Lock()
+	c.shut()
+	open, queue, probes := c.open, c.queue, c.probes
+	c.open, c.queue, c.probes = map[string]*Flight{}, nil, nil
+	p.mu.Unlock()
+	if broke && p.limits.Fault != nil {
+		p.limits.Fault(c.peer.id)
+	}
+	for _, i := range queue {
+		if i.flight != nil {
+			i.flight.Body.Release()
+		}
+	}
+	for _, f := range open {
+		o := core.Outcome{Code: "econnreset"}
+		if f.Hop.Withdraw() {
+			o.Code = "econnrefused"
+		}
+		p.ended(f.Hop, o)
+	}
+	for _, done := range probes {
+		done(false)
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,287 @@
+// Package upstream keeps the connections to cache servers, parents and the
+// origin. Many hops share a connection; one goroutine reads each. Whoever has
+// something to write does so, and takes along what others have queued.
+package upstream
+
+import (
+	"sync"
+	"time"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/config"
+	"quilldoor/internal/core"
+	"quilldoor/internal/lines"
+)
+
+// Flight is one hop on its way, with what the client sent.
+type Flight struct {
+	Hop           *core.Hop
+	Class, Object string
+	Part          int64
+	Tag           string
+	Body          *buffer.Body // nil: none
+	conn          *conn
+	written       time.Time // under the pool's lock, as conn
+}
+
+// Reply is an answer's body and tag; it is what a txn is completed with.
+type Reply struct {
+	*buffer.Body
+	Tag  string
+	Same bool // the client's copy is the one
+}
+
+// Ended is told how hops end.
+type Ended func(h *core.Hop, o core.Outcome)
+
+// Pool holds the connections of all servers.
+type Pool struct {
+	limits *config.Limits
+	bodies *buffer.Pool
+	ended  Ended
+
+	mu    sync.Mutex // for the books below and those of every conn; never held over I/O
+	peers map[string]*peer
+	total int
+	stop  bool
+}
+
+// peer is one server at one address.
+type peer struct {
+	id, endpoint string
+	conns        []*conn
+}
+
+// New makes an empty pool.
+func New(limits *config.Limits, bodies *buffer.Pool, ended Ended) *Pool {
+	return &Pool{limits: limits, bodies: bodies, ended: ended, peers: map[string]*peer{}}
+}
+
+func (p *Pool) peer(s *core.Server) *peer {
+	r := p.peers[s.Server]
+	if r != nil && r.endpoint != s.Endpoint {
+		p.retire(r) // listed at another address: those connections lead elsewhere
+		r = nil
+	}
+	if r == nil {
+		r = &peer{id: s.Server, endpoint: s.Endpoint}
+		p.peers[s.Server] = r
+	}
+	return r
+}
+
+// Send puts a hop on a connection. Its outcome, whatever becomes of it, goes to
+// Ended, unless it is dropped first.
+func (p *Pool) Send(f *Flight) {
+	id := f.Hop.Txn.ID
+	p.mu.Lock()
+	c := p.choose(p.peer(f.Hop.Server), id)
+	if c == nil {
+		p.mu.Unlock()
+		f.Hop.Withdraw()
+		p.ended(f.Hop, core.Outcome{Code: "econnrefused"})
+		return
+	}
+	f.conn = c
+	f.Body.Hold()
+	c.open[id] = f
+	c.put(item{flight: f}) // unlocks
+}
+
+// choose finds a connection for a txn's hop. A connection never carries one id
+// twice, since answers name hops by it. An idle connection comes first, then a
+// new one: answers stand in a row on a connection, and a long one would hold
+// the others up.
+func (p *Pool) choose(r *peer, id string) *conn {
+	var best *conn
+	for _, c := range r.conns {
+		_, dropped := c.dropped[id]
+		if c.suspect || c.closing || c.open[id] != nil || dropped || len(c.open) >= p.limits.Streams {
+			continue
+		}
+		if best == nil || len(c.open) < len(best.open) ||
+			len(c.open) == len(best.open) && c.idleSince.After(best.idleSince) {
+			best = c
+		}
+	}
+	if best != nil && len(best.open) == 0 {
+		return best
+	}
+	if p.total >= p.limits.Upstream {
+		p.evict()
+	}
+	if p.stop || p.total >= p.limits.Upstream || len(r.conns) >= p.limits.PerServer && best != nil {
+		return best
+	}
+	return p.dial(r)
+}
+
+// evict closes the connection that has been idle longest.
+func (p *Pool) evict() {
+	var oldest *conn
+	for _, r := range p.peers {
+		for _, c := range r.conns {
+			if c.idle() && (oldest == nil || c.idleSince.Before(oldest.idleSince)) {
+				oldest = c
+			}
+		}
+	}
+	if oldest != nil {
+		oldest.shut()
+	}
+}
+
+// Drop gives the hop up. Silent says that its time ran out: if its connection
+// has brought nothing since the hop went out, the machine may be gone, so that
+// nothing new goes there.
+func (f *Flight) Drop(silent bool) {
+	c, id := f.conn, f.Hop.Txn.ID
+	if c == nil {
+		return
+	}
+	p := c.pool
+	p.mu.Lock()
+	if c.open[id] != f {
+		p.mu.Unlock()
+		return
+	}
+	delete(c.open, id)
+	c.suspect = c.suspect || silent && c.heard.Before(f.written)
+	sent := !f.Hop.Withdraw()
+	if sent {
+		c.dropped[id] = time.Now()
+	}
+	c.rest()
+	if !sent || c.dead {
+		p.mu.Unlock()
+		return
+	}
+	c.put(item{drop: id}) // unlocks
+}
+
+// Probe asks a server whether it is there; the answer goes to done.
+func (p *Pool) Probe(s *core.Server, tag string, done func(ok bool)) {
+	p.mu.Lock()
+	c := p.choose(p.peer(s), tag)
+	if c == nil {
+		p.mu.Unlock()
+		done(false)
+		return
+	}
+	c.probes[tag] = done
+	c.put(item{ping: tag}) // unlocks
+}
+
+// Unprobe forgets a probe that has not been answered; true: it was still out.
+func (p *Pool) Unprobe(s *core.Server, tag string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.peers[s.Server]
+	if r == nil {
+		return false
+	}
+	for _, c := range r.conns {
+		if c.probes[tag] != nil {
+			delete(c.probes, tag)
+			c.suspect = true
+			c.rest()
+			return true
+		}
+	}
+	return false
+}
+
+// Retire lets connections to servers that take nothing new end with their hops.
+// A hop that is not on a connection yet is proven not to have run.
+func (p *Pool) Retire(ids []string) {
+	var unsent []*Flight
+	p.mu.Lock()
+	for _, id := range ids {
+		if r := p.peers[id]; r != nil {
+			unsent = append(unsent, p.retire(r)...)
+		}
+	}
+	p.mu.Unlock()
+	for _, f := range unsent {
+		p.ended(f.Hop, core.Outcome{Code: "skipped"})
+	}
+}
+
+func (p *Pool) retire(r *peer) (unsent []*Flight) {
+	delete(p.peers, r.id)
+	for _, c := range append([]*conn(nil), r.conns...) {
+		for id, f := range c.open {
+			if f.Hop.Withdraw() {
+				delete(c.open, id)
+				unsent = append(unsent, f)
+			}
+		}
+		c.closing = true
+		c.rest()
+	}
+	return unsent
+}
+
+// Disconnect closes idle connections to a server.
+func (p *Pool) Disconnect(s *core.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.peers[s.Server]; r != nil {
+		for _, c := range append([]*conn(nil), r.conns...) {
+			if c.idle() {
+				c.shut()
+			}
+		}
+	}
+}
+
+// Sweep closes connections that have been idle for long, before the server
+// does, and forgets dropped hops whose answers can't come any more.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.peers {
+		for _, c := range append([]*conn(nil), r.conns...) {
+			for id, at := range c.dropped {
+				if now.Sub(at) > p.limits.Remember {
+					delete(c.dropped, id)
+				}
+			}
+			if c.idle() && now.Sub(c.idleSince) > p.limits.IdleUpstream {
+				c.shut()
+			}
+		}
+	}
+}
+
+// Close ends every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stop = true
+	for _, r := range p.peers {
+		for _, c := range append([]*conn(nil), r.conns...) {
+			c.shut()
+		}
+	}
+}
+
+// Count tells how many connections there are.
+func (p *Pool) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.total
+}
+
+// Command for a hop at the time of writing. Times are whole milliseconds: an
+// age is cut down, since older copies are barred, but stays above 0, which
+// would mean the default.
+func (f *Flight) command(now int64) *lines.Get {
+	h := f.Hop
+	g := &lines.Get{ID: h.Txn.ID, Class: f.Class, Object: f.Object, Part: f.Part, Source: h.Source, Rank: h.Rank,
+		Mode: h.Mode, Tag: f.Tag, Length: f.Body.Len(), Budget: max((h.Due-now)/1000, 1)}
+	if h.Age > 0 {
+		g.Age = max(h.Age/1000, 1)
+	}
+	return g
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,8 +6,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math"
 
+	"quilldoor/internal/settings"
 	"quilldoor/logic"
 )
 
@@ -57,8 +57,6 @@
 	return ok || verb == PowerOn || verb == Detach || verb == Inventory
 }
 
-func micros(ms float64) int64 { return int64(math.Round(ms * 1000)) }
-
 func millis(us int64) float64 { return float64(us) / 1000 }
 
 // ReadBatch parses one line.
@@ -79,14 +77,14 @@
 	case raw.Input == nil:
 		return Batch{}, fmt.Errorf("no input")
 	}
-	return Batch{*raw.Turn, micros(*raw.ClockMs), *raw.Input}, nil
+	return Batch{*raw.Turn, settings.Micros(*raw.ClockMs), *raw.Input}, nil
 }
 
 type event struct {
 	Verb        string `json:"verb"`
 	I           *int
 	Seed        uint64
-	Setup       *setup
+	Setup       *settings.Setup
 	Page        *int
 	NodesList   []node
 	Scope       string
@@ -123,109 +121,6 @@
 	BornMs       float64
 }
 
-type setup struct {
-	Rank, Siblings int
-	Zone           string
-	Zones, Kinds   []string
-	Classes        []struct {
-		Name, Effect, Group             string
-		DedupWindowMs, TargetMs         float64
-		GiveUpMs, AimStretch, LateShare float64
-		Value                           float64
-		Streamed                        bool
-	}
-	Tenants []struct {
-		Name               string
-		QuotaPerS, Portion float64
-	}
-	OverShareWorth float64
-	Callers        struct{ MarksRetry bool }
-	Discovery      string
-	Contract       struct {
-		AnswerSlackMs, AskEveryMs, ColdFrom, ColdMs float64
-		DrainGraceMs, FallMs, FallMultiple          float64
-	}
-	Limits struct {
-		Cancel, PeerMessages, Probes, RetryAfter, SecondCopies bool
-		MostTries, MaxOpen, StreamsPerConn                     int
-		MaxRetryAfterMs, ConnectTimeoutMs                      float64
-	}
-	FamilyInfo struct {
-		BypassAllowed, Collapses              bool
-		ClassGraceMs, GoodForMs, WorthWhenOld []float64
-		GoesThrough, MultiPart                []bool
-		ClearedWithinMs, PurgeGraceMs         float64
-		FeedKbPerS                            []float64
-		FlowKbPerS, LinkPrice                 float64
-		HubByZone, ZoneBalancers              []int
-		MasterKind                            int
-		SecondTierKind                        *int
-		NotesGiven, Sideways                  string
-		OriginFallMs, OriginFallMultiple      float64
-		ParentColdFrom, ParentRampMs          float64
-		UpperFallMultiple                     float64
-	}
-	LoadReport struct {
-		Fields []string
-		How    string
-	}
-	WeightKind string
-	RoundMs    float64
-}
-
-func at[T any](list []T, i int) (v T) {
-	if i < len(list) {
-		v = list[i]
-	}
-	return v
-}
-
-func (s *setup) settings() logic.Settings {
-	f, c, l := &s.FamilyInfo, &s.Contract, &s.Limits
-	out := logic.Settings{
-		Rank: s.Rank, Siblings: s.Siblings, Zone: s.Zone, Zones: s.Zones, Kinds: s.Kinds,
-		OverShareWorth: s.OverShareWorth, MarksRetry: s.Callers.MarksRetry, Discovery: s.Discovery,
-		WeightKind: s.WeightKind, Round: micros(s.RoundMs),
-		Contract: logic.Contract{
-			AnswerSlack: micros(c.AnswerSlackMs), AskEvery: micros(c.AskEveryMs), ColdFor: micros(c.ColdMs),
-			DrainGrace: micros(c.DrainGraceMs), FallFor: micros(c.FallMs),
-			ColdFrom: c.ColdFrom, FallMultiple: c.FallMultiple,
-		},
-		Limits: logic.Limits{
-			Cancel: l.Cancel, Peers: l.PeerMessages, Probes: l.Probes, RetryAfter: l.RetryAfter,
-			SecondCopies: l.SecondCopies, MaxHops: l.MostTries, MaxOpen: l.MaxOpen,
-			StreamsPerConn: l.StreamsPerConn, MaxRetryAfter: micros(l.MaxRetryAfterMs),
-			ConnectTimeout: micros(l.ConnectTimeoutMs),
-		},
-		Family: logic.Family{
-			Direct: f.BypassAllowed, Joins: f.Collapses, OriginKind: f.MasterKind, ParentKind: -1,
-			FlowKBPerS: f.FlowKbPerS, LinkPrice: f.LinkPrice, ParentColdFrom: f.ParentColdFrom,
-			ParentColdFor: micros(f.ParentRampMs), ParentFallMultiple: f.UpperFallMultiple,
-			PurgeDone: micros(f.ClearedWithinMs), PurgeGrace: micros(f.PurgeGraceMs),
-			Siblings: f.Sideways, Tells: f.NotesGiven, ZoneBalancers: f.ZoneBalancers,
-			HubByZone: f.HubByZone, LinkKBPerS: f.FeedKbPerS,
-			OriginFallMultiple: f.OriginFallMultiple, OriginFallFor: micros(f.OriginFallMs),
-		},
-		Report: logic.Report{How: s.LoadReport.How, Fields: s.LoadReport.Fields},
-	}
-	if f.SecondTierKind != nil {
-		out.Family.ParentKind = *f.SecondTierKind
-	}
-	for i, k := range s.Classes {
-		out.Rules = append(out.Rules, logic.RemapRule{
-			Name: k.Name, Effect: k.Effect, Group: k.Group, Window: micros(k.DedupWindowMs),
-			SLA: micros(k.TargetMs), Stretch: k.AimStretch, TimeLimit: micros(k.GiveUpMs),
-			Importance: k.Value, LateShare: k.LateShare, Streamed: k.Streamed,
-			Fresh: micros(at(f.GoodForMs, i)), Grace: micros(at(f.ClassGraceMs, i)),
-			StaleShare: at(f.WorthWhenOld, i), Write: at(f.GoesThrough, i), Parts: at(f.MultiPart, i),
-		})
-	}
-	for _, t := range s.Tenants {
-		out.Tenants = append(out.Tenants, logic.Tenant(t))
-	}
-	return out
-}
-
 // ReadMessage parses one event of a batch. An unknown verb gives a Message
 // with that verb and nothing else.
 func ReadMessage(raw json.RawMessage) (Message, error) {
@@ -257,7 +152,7 @@
 		if e.Setup == nil {
 			return m, fmt.Errorf("PowerOn: no Setup")
 		}
-		m.Seed, m.Settings = e.Seed, e.Setup.settings()
+		m.Seed, m.Settings = e.Seed, e.Setup.Logic()
 		return m, nil
 	case Inventory:
 		if e.Page == nil {
@@ -267,7 +162,7 @@
 		for _, n := range e.NodesList {
 			m.Entries = append(m.Entries, logic.Entry{
 				Server: n.Server, Zone: n.Site, Kind: n.Kind, Cell: n.Stripe,
-				State: n.Availability, Weight: n.Heft, Born: micros(n.BornMs),
+				State: n.Availability, Weight: n.Heft, Born: settings.Micros(n.BornMs),
 			})
 		}
 		return m, nil
@@ -286,10 +181,10 @@
 	tenant, _ := e.Team.(string)
 	m.Event = logic.Event{
 		Kind: kinds[m.Verb], Scope: e.Scope, Txn: e.OpId, Rule: e.Grade, Object: e.ContentId,
-		Group: e.BatchId, Part: int64(e.Piece), SizeKB: e.LengthKb, Remaining: micros(e.RemainingMs),
+		Group: e.BatchId, Part: int64(e.Piece), SizeKB: e.LengthKb, Remaining: settings.Micros(e.RemainingMs),
 		Repeat: e.Attrs&2 != 0, Write: e.Attrs&4 != 0, Tenant: tenant, Server: e.Server, Hop: e.RoundNo,
-		Code: e.Rc, Note: e.Remark, Final: e.Final, RTT: micros(e.RttMs), Waited: micros(e.WaitedMs),
-		Load: e.Stats, Token: e.Ctx, Age: micros(e.AgeMs), Peer: e.By, Data: data,
+		Code: e.Rc, Note: e.Remark, Final: e.Final, RTT: settings.Micros(e.RttMs), Waited: settings.Micros(e.WaitedMs),
+		Load: e.Stats, Token: e.Ctx, Age: settings.Micros(e.AgeMs), Peer: e.By, Data: data,
 	}
 	return m, nil
 }
