--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -52,7 +52,7 @@
 	r.up = upstream.New(c.Limits, bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) })
 	r.front = front.New(r.core, r.up, bodies, c.Limits)
 	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": set.Zone,
-		"rules": len(set.Rules), "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
+		"rules": len(set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
 
 	l, err := net.Listen("tcp", c.Listen)
@@ -92,8 +92,9 @@
 // attend does what time brings: the module's timers, hops' time-outs, probes,
 // idle connections.
 func (r *router) attend(ctx context.Context) {
-	const sweepEvery = time.Second
-	probes, swept := 0, time.Now()
+	const sweepEvery, statusEvery = time.Second, 10 * time.Second
+	probes, swept, told := 0, time.Now(), time.Now()
+	var lag time.Duration // how late a timer came at most since the last status
 	for {
 		next, errands := r.core.Run(clock())
 		for _, o := range errands {
@@ -112,16 +113,32 @@
 		if now := time.Now(); now.Sub(swept) >= sweepEvery {
 			swept = now
 			r.up.Sweep(now)
+			if now.Sub(told) >= statusEvery {
+				told = now
+				r.status(lag)
+				lag = 0
+			}
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.kick:
 		case <-time.After(time.Until(time.UnixMicro(next))):
+			lag = max(lag, time.Since(time.UnixMicro(next)))
 		}
 	}
 }
 
+// status tells how full the router is.
+func (r *router) status(lag time.Duration) {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	txns, servers := r.core.Count()
+	r.log.WithFields(logrus.Fields{"txns": txns, "servers": servers, "clients": r.front.Clients(),
+		"upstream": r.up.Count(), "goroutines": runtime.NumGoroutine(), "memory_mb": m.Sys >> 20,
+		"collections": m.NumGC, "timer_late_ms_most": lag.Milliseconds()}).Info("status")
+}
+
 // probe sends one, and counts it as timed out if a connection's time passes.
 func (r *router) probe(s *core.Server, tag string) {
 	sent := clock()
