Judge lateness by the last second where more than sixteen hops ended in it

At fault: learn's share of the last 16 hops and one cut a round of 200 ms; with a tenth late, some sixteen of each round hold four late ones by chance, while a limit of 50 rises by one in that time. The same window judged sources, idle caches and failed fills.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,8 +15,7 @@
 
 // ---- The paper's sketch ----
 
-// sketchWidth counters in each of four rows. A halving period sees about a thousand distinct objects at one
-// router, so collisions stay rare.
+// sketchWidth counters in each of four rows: a halving period sees about a thousand objects at one router.
 const sketchWidth = 1 << 12
 
 // counterTop is where a counter stops rising (the design page's ten).
@@ -203,7 +202,7 @@
 	rests        int64
 	spent        []spend
 	link         float64  // how full its location's link in was reported
-	late         []bool   // of a source: the last fills that named it
+	late         []end    // of a source: the last fills that named it
 	kept         []uint64 // objects it was asked to keep, by recency, latest last
 	own          [3]room
 	room         *[3]room // by kind of hop
@@ -217,8 +216,7 @@
 	origin
 )
 
-// rest keeps a failing server out, doubling: soon enough for a process that restarts within seconds, rarely
-// enough that a silent machine costs one hop in a rest.
+// rest keeps a failing server out, doubling: a process is back in seconds, a silent machine costs one hop.
 func (r *Router) rest(s *server) {
 	const restFirst, restMost = 1 * sec, 4 * sec
 	s.late = nil
@@ -258,18 +256,17 @@
 }
 
 // supplied notes whether a fill that named a source came in time. A parent is late when half of its last
-// fills were and twice the share of the best other source: misses behind a lost or limping parent hang while
-// hits go on, and a slow origin makes all sources late alike. Where probes are allowed each late fill asks
-// whether the parent is there, since a router may name a parent once in seconds only. It harms where one
-// parent alone has the objects that are slow to make, or the origin is idle but small; behind a slow origin
-// probes are wasted.
+// fills were and twice the share of the best other source: misses behind a lost parent hang while hits go on,
+// and a slow origin makes all sources late alike. Where probes are allowed each late fill asks whether the
+// parent is there. It harms where one parent alone has the objects that are slow to make, or the origin is
+// idle but small; behind a slow origin probes are wasted.
 func (r *Router) supplied(s *server, timely bool) {
-	s.late = sample(s.late, !timely)
+	s.late = r.note(s.late, !timely, window)
 	if s.role != parent || timely {
 		return
 	}
 	own, all := lateOf(s.late)
-	if 2*own >= window && slices.ContainsFunc(r.order, func(p *server) bool {
+	if 2*own >= max(all, window) && slices.ContainsFunc(r.order, func(p *server) bool {
 		l, n := lateOf(p.late)
 		return p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all
 	}) {
@@ -279,14 +276,11 @@
 	}
 }
 
-// ---- Budgets for cold servers ----
-
 // coldShare is the part of the fall-over budget that routers use: the rest covers hops of others who learn
 // late, and sizes above the mean. At 0.45 hunts came to 40% of a fall at most.
 const coldShare = 0.75
 
-// affords tells whether a server can be sent work more: anything once warm, while cold this router's share of
-// what it can do in every window.
+// affords tells whether a server can be sent work more: any once warm, else this router's share in a window.
 func (r *Router) affords(s *server, work int64) bool {
 	c := r.cold[s.role]
 	age := r.now - s.born
@@ -323,7 +317,7 @@
 type room struct {
 	out, limit float64
 	cutAt      int64
-	late       []bool // of the last hops that ended
+	late       []end // the last hops
 }
 
 const (
@@ -334,32 +328,44 @@
 
 // learn moves a limit: up by half a hop a round of timely answers, down by 30% when a quarter of the last
 // ones were late or refused, then not again for a round. Steps of one and 15% settled where a quarter is late
-// all day: a late answer takes the room of one in time, so a limit falls faster than it rises. It answers
-// whatever makes a cache late: its link, its cores, slow fills. It harms where answers are late for a cause
-// that fewer hops don't mend. Limits of many routers add up, and each sees little: the least limit, the step
-// and the window are this router's part. Four samples are the fewest of which one makes a quarter.
+// all day. It harms where answers are late for a cause that fewer hops don't mend. Limits of many routers add
+// up: the least limit, the step and the window are this router's part; four samples are the fewest that have
+// a quarter.
 func (r *Router) learn(m *room, timely bool) {
 	const least, cut, round = 2, 0.7, 200 * ms
-	m.late = sample(m.late, !timely)
 	w := max(int(window*r.part), 4)
-	late, _ := lateOf(m.late[max(0, len(m.late)-w):])
+	m.late = r.note(m.late, !timely, w)
+	late, all := lateOf(m.late)
 	switch {
 	case timely && m.out+1 >= m.limit/2:
 		m.limit += r.part / (2 * m.limit)
-	case !timely && 4*late >= w && r.now-m.cutAt > round:
+	case !timely && 4*late >= max(all, w) && r.now-m.cutAt > round:
 		m.cutAt = r.now
 		m.limit = max(min(m.limit, m.out+1)*cut, least*r.part)
 	}
 }
 
-// window is how many of the last hops a share is taken of: enough that a quarter is no chance, few enough to
-// turn within a second.
-const window = 16
+// window is how many of the last hops a share is taken of at least: enough that a quarter is no chance, few
+// enough to turn within a second. Where more ended lately all count: at hundreds a second sixteen are some
+// tens of milliseconds, and of one such sixteen in each round a quarter is late by chance.
+const window, lately = 16, 1 * sec
+
+type end struct {
+	at  int64
+	bad bool
+}
 
-func lateOf(list []bool) (late, all int) {
-	list = list[max(0, len(list)-window):]
-	for _, l := range list {
-		if l {
+func (r *Router) note(list []end, bad bool, least int) []end {
+	old := 0
+	for len(list)-old >= least && list[old].at <= r.now-lately {
+		old++
+	}
+	return append(slices.Delete(list, 0, old), end{r.now, bad})
+}
+
+func lateOf(list []end) (late, all int) {
+	for _, e := range list {
+		if e.bad {
 			late++
 		}
 	}
@@ -454,8 +460,7 @@
 	unrepeatable
 )
 
-// mayTable says what rule 2 leaves, by effect, once a hop may have run or is still out: another hop, within
-// the window and group where there is one; a rejection.
+// mayTable says what rule 2 leaves once a hop may have run or is out: another, within window and group.
 var mayTable = []struct{ again, reject, timed, zone, cell bool }{
 	repeatable:   {again: true, reject: true},
 	keyedAll:     {again: true, reject: true, timed: true},
@@ -516,8 +521,6 @@
 		(!m.zone || s.zone == first.zone) && (!m.cell || s.cell == first.cell)
 }
 
-// ---- The router ----
-
 type cold struct {
 	from, multiple, routers float64
 	lasts                   int64
@@ -535,7 +538,7 @@
 	rules          map[string]*rule
 	txns           map[string]*txn
 	open           []*txn // in order of arrival; closed ones leave at the next sweep
-	failed         []bool // of the last hops that might fill: those that brought no answer
+	failed         []end  // of the last hops that might fill: those that brought no answer
 	dice           uint64
 	part           float64   // this router's of its location
 	beyond         [3]room   // for hops that pass the caches by: they share one link in
@@ -739,8 +742,8 @@
 // idle tells whether a cache has room for the txns of a jammed one: where one cache is short and others are
 // not, a second copy costs less than a rejection. In a jam of all it must not act: it would scatter copies.
 func idle(s *server) bool {
-	late, _ := lateOf(s.room[fills].late)
-	return late == 0 && 3*s.room[fills].out < s.room[fills].limit
+	late, all := lateOf(s.room[fills].late)
+	return window*late < max(all, 1) && 3*s.room[fills].out < s.room[fills].limit
 }
 
 // pick is rendezvous hashing, weighted by size: the usable server of greatest score for the object, those
@@ -813,9 +816,8 @@
 		r.giveUp(t)
 		return
 	}
-	// Where fills are late, hits need not be: a look takes what the cache holds and costs no place for long;
-	// then a loan what the parent holds, without the origin behind it. Else it is given up, unless a fill has
-	// room by then.
+	// Where fills are late, hits need not be: a look takes what the cache holds, then a loan what the parent
+	// holds, without the origin behind it. Else it is given up, unless a fill has room by then.
 	const slack = 0.5 // a fuller link in is itself what makes fills late
 	mode, kind, grace := 0, fills, int64(0)
 	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
@@ -873,10 +875,9 @@
 		}
 		return
 	}
-	// A read that failed goes again only while few of the router's fills do: tries after failures feed a jam,
-	// a crowded origin's above all, and cost it the writes too. It guards against any loss of many servers at
-	// once; it harms where one cache of few fails and others are well, until that one rests.
-	if failed, _ := lateOf(r.failed); 4*failed >= window && t.hops[len(t.hops)-1].kind == fills {
+	// A read that failed goes again only while few of the router's fills do: tries after failures feed a jam and
+	// cost a crowded origin the writes. It harms where one cache of few fails alone, until that one rests.
+	if failed, all := lateOf(r.failed); 4*failed >= max(all, window) && t.hops[len(t.hops)-1].kind == fills {
 		r.giveUp(t)
 		return
 	}
@@ -953,7 +954,7 @@
 		r.ended(t, h, e.Code == "done" && !r.overdue(t, h))
 	}
 	if h.kind == fills && !t.rule.write && e.Code != "ecanceled" {
-		r.failed = sample(r.failed, e.Code != "done")
+		r.failed = r.note(r.failed, e.Code != "done", window)
 	}
 	if e.Final {
 		r.step(t, inFinal)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -240,6 +241,27 @@
 	}
 }
 
+// At hundreds of hops a second the last sixteen are late by a quarter now and then, which cut limits to their
+// floor though one in ten was late: on sockets a third of a calm day's txns were rejected.
+func TestLimitIsJudgedByTheLastSecond(t *testing.T) {
+	r := router(nil)
+	m := &room{out: 40, limit: 40}
+	for i := range 400 {
+		r.now = begin + int64(i)*2*ms
+		r.learn(m, i%40 < 36) // four late ones in a row, in forty
+	}
+	if m.limit < 40 {
+		t.Fatalf("cut to %v with a tenth late", m.limit)
+	}
+	for i := range 800 {
+		r.now += 2 * ms
+		r.learn(m, i%3 > 0)
+	}
+	if m.limit > 20 {
+		t.Fatalf("limit %v with a third late", m.limit)
+	}
+}
+
 func TestPoorestIsShedFirst(t *testing.T) {
 	r := router(nil)
 	r.values = []float64{1, 2, 3, 4}
@@ -295,7 +317,7 @@
 	if r.supplied(bad, false); bad.health != down {
 		t.Fatal("not rested although half of its fills were late")
 	}
-	good.late = []bool{true, true, true, true, true, true, true}
+	good.late = slices.Repeat([]end{{begin, true}}, 7)
 	if r.supplied(good, false); good.health != up {
 		t.Fatal("the last parent up is rested")
 	}
@@ -392,7 +414,7 @@
 		get := only(t, r.Handle(begin, request("read"), nil), ActGet)
 		sla := r.txns["t"].sla()
 		r.Handle(begin+sla*share/100, Event{Kind: EvAnswer, Txn: "t", Server: get.Server, Code: "done", Final: true}, nil)
-		if got := r.servers[get.Server].room[fills].late[0]; got != want {
+		if got := r.servers[get.Server].room[fills].late[0].bad; got != want {
 			t.Fatalf("late %v after %d%% of the SLA time", got, share)
 		}
 	}
@@ -465,7 +487,7 @@
 	for failed, want := range map[int]ActionKind{window/4 - 2: ActGet, window/4 - 1: ActReject} {
 		r := router(nil)
 		for i := range window - 1 {
-			r.failed = append(r.failed, i < failed)
+			r.failed = append(r.failed, end{begin, i < failed})
 		}
 		get := only(t, r.Handle(begin, request("read"), nil), ActGet)
 		out := Event{Kind: EvAnswer, Txn: "t", Server: get.Server, Code: "busy"}
