--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -46,11 +46,8 @@
 		}
 	})
 	bodies := buffer.NewPool(c.Limits.Held)
-	c.Limits.Fault = func(server string) {
-		r.log.WithField("server", server).Warn("server broke the protocol, connection closed")
-	}
-	r.up = upstream.New(c.Limits, bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) })
-	r.front = front.New(r.core, r.up, bodies, c.Limits)
+	r.up = upstream.New(c.Limits, bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) }, r.log)
+	r.front = front.New(r.core, r.up, bodies, c.Limits, r.log)
 	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": set.Zone,
 		"rules": len(set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -236,8 +236,6 @@
 
 	AcceptOn time.Duration // after SIGTERM
 	ServeOn  time.Duration // after that, on open connections
-
-	Fault func(server string) // a server broke the protocol; may be nil
 }
 
 const ms = time.Millisecond
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
@@ -24,6 +26,7 @@
 	up       *upstream.Pool
 	bodies   *buffer.Pool
 	limits   *config.Limits
+	log      *logrus.Entry
 	ready    atomic.Bool
 	draining atomic.Bool
 
@@ -34,8 +37,8 @@
 }
 
 // New makes a front; it is ready once told so.
-func New(c *core.Core, up *upstream.Pool, bodies *buffer.Pool, limits *config.Limits) *Front {
-	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]bool{}}
+func New(c *core.Core, up *upstream.Pool, bodies *buffer.Pool, limits *config.Limits, log *logrus.Entry) *Front {
+	f := &Front{core: c, up: up, bodies: bodies, limits: limits, log: log, clients: map[*client]bool{}}
 	f.room.L, f.none.L = &f.mu, &f.mu
 	return f
 }
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
@@ -116,6 +118,10 @@
 				final = &o
 			}
 		}
+		if late := time.Since(limit); final != nil && late > f.limits.ReplySlack/2 {
+			f.log.WithFields(logrus.Fields{"txn": t.ID, "late_ms": late.Milliseconds(), "answer": final.Kind}).
+				Warn("answer after the time limit")
+		}
 		if final != nil || !here {
 			for _, o := range t.Detach() {
 				o.Hop.Carrier.Drop(o.Silent)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/core"
 	"quilldoor/internal/lines"
@@ -84,14 +87,14 @@
 func (c *conn) run(ctx context.Context) {
 	sock, err := new(net.Dialer).DialContext(ctx, "tcp", c.peer.endpoint)
 	if err != nil {
-		c.fail(false)
+		c.fail(err)
 		return
 	}
 	c.pool.mu.Lock()
 	if c.dead {
 		c.pool.mu.Unlock()
 		sock.Close()
-		c.fail(false)
+		c.fail(nil)
 		return
 	}
 	c.sock, c.up, c.writing, c.heard = sock, true, true, time.Now()
@@ -182,21 +185,20 @@
 	return err == nil
 }
 
-// read takes answers until the connection ends; true: the peer broke the
-// protocol.
-func (c *conn) read() bool {
+// read takes answers until the connection ends or the peer breaks the protocol.
+func (c *conn) read() error {
 	r := bufio.NewReaderSize(c.sock, buffer.Size)
 	for {
 		if _, err := r.Peek(1); err != nil {
-			return false
+			return err
 		}
 		c.sock.SetReadDeadline(time.Now().Add(c.pool.limits.Frame))
 		a, err := lines.ReadAnswer(r, c.pool.limits.Answer)
 		if err != nil {
-			return errors.Is(err, lines.ErrBroken)
+			return err
 		}
 		if err := c.answer(r, &a); err != nil {
-			return errors.Is(err, lines.ErrBroken)
+			return err
 		}
 		c.sock.SetReadDeadline(time.Time{})
 	}
@@ -214,7 +216,7 @@
 	_, dropped := c.dropped[a.ID]
 	p.mu.Unlock()
 	if f == nil && probe == nil && !dropped || (a.Word == lines.Ready) != (probe != nil) {
-		return lines.ErrBroken // it answers nothing that was asked
+		return fmt.Errorf("%w: it answers nothing that was asked", lines.ErrBroken)
 	}
 	var body *buffer.Body
 	var full error
@@ -258,15 +260,21 @@
 }
 
 // fail ends what is left on the connection.
-func (c *conn) fail(broke bool) {
+func (c *conn) fail(err error) {
 	p := c.pool
 	p.mu.Lock()
 	c.shut()
 	open, queue, probes := c.open, c.queue, c.probes
 	c.open, c.queue, c.probes = map[string]*Flight{}, nil, nil
 	p.mu.Unlock()
-	if broke && p.limits.Fault != nil {
-		p.limits.Fault(c.peer.id)
+	entry := p.log.WithFields(logrus.Fields{"server": c.peer.id, "hops": len(open)})
+	switch {
+	case errors.Is(err, lines.ErrBroken):
+		entry.WithError(err).Warn("server broke the protocol, connection closed")
+	case len(open) > 0 && !c.up:
+		entry.WithError(err).Debug("no connection to server")
+	case len(open) > 0:
+		entry.WithError(err).Debug("connection to server broke")
 	}
 	for _, i := range queue {
 		if i.flight != nil {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
@@ -39,6 +41,7 @@
 	limits *config.Limits
 	bodies *buffer.Pool
 	ended  Ended
+	log    *logrus.Entry
 
 	mu    sync.Mutex // for the books below and those of every conn; never held over I/O
 	peers map[string]*peer
@@ -53,8 +56,8 @@
 }
 
 // New makes an empty pool.
-func New(limits *config.Limits, bodies *buffer.Pool, ended Ended) *Pool {
-	return &Pool{limits: limits, bodies: bodies, ended: ended, peers: map[string]*peer{}}
+func New(limits *config.Limits, bodies *buffer.Pool, ended Ended, log *logrus.Entry) *Pool {
+	return &Pool{limits: limits, bodies: bodies, ended: ended, log: log, peers: map[string]*peer{}}
 }
 
 func (p *Pool) peer(s *core.Server) *peer {
