Let limits keep an eighth of a cache's link; judge by a quarter second

Misses by the parent left took 160 ms and more, longer than a quote-page's SLA time, whatever was sent; so 30 to 40% stayed late, misses were rejected and hits fell from 1250 to 850 a second, since nothing filled the caches. Ruled out: links and origin (p90 of fills under 300 ms), the parent resting late (one second). At fault: learn's least limit (2 hops, right where a link carries five transfers, here 211 to 260) and its step of half a hop. Both follow the cache's listed size now and are as before up to a size of 16.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -261,13 +261,13 @@
 // parent is there. It harms where one parent alone has the objects that are slow to make, or the origin is
 // idle but small; behind a slow origin probes are wasted.
 func (r *Router) supplied(s *server, timely bool) {
-	s.late = r.note(s.late, !timely, window)
+	s.late = r.note(s.late, !timely)
 	if s.role != parent || timely {
 		return
 	}
-	own, all := lateOf(s.late)
+	own, all := r.lateOf(s.late, window)
 	if 2*own >= max(all, window) && slices.ContainsFunc(r.order, func(p *server) bool {
-		l, n := lateOf(p.late)
+		l, n := r.lateOf(p.late, window)
 		return p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all
 	}) {
 		r.judge(s, signLate)
@@ -316,6 +316,7 @@
 // room is how many hops of a kind a cache has lately answered in time.
 type room struct {
 	out, limit float64
+	size       float64 // the cache's, as listed
 	cutAt      int64
 	late       []end // the last hops
 }
@@ -326,19 +327,19 @@
 	loans        // fills of only what the parent holds
 )
 
-// learn moves a limit: up by half a hop a round of timely answers, down by 30% when a quarter of the last
-// ones were late or refused, then not again for a round. Steps of one and 15% settled where a quarter is late
-// all day. It harms where answers are late for a cause that fewer hops don't mend. Limits of many routers add
-// up: the least limit, the step and the window are this router's part; four samples are the fewest that have
-// a quarter.
+// learn moves a limit: up by a quarter of the least a round of timely answers, down by 30% when a quarter of
+// the last were late or refused, then not again for a round. Steps of one and 15% settled where a quarter is
+// late all day. It harms where answers are late for a cause that fewer hops don't mend: so it leaves what keeps
+// an eighth of the cache's link busy. All is this router's part; of four samples one makes a quarter.
 func (r *Router) learn(m *room, timely bool) {
-	const least, cut, round = 2, 0.7, 200 * ms
+	const cut, round = 0.7, 200 * ms
+	least := max(2, m.size/8)
 	w := max(int(window*r.part), 4)
-	m.late = r.note(m.late, !timely, w)
-	late, all := lateOf(m.late)
+	m.late = r.note(m.late, !timely)
+	late, all := r.lateOf(m.late, w)
 	switch {
 	case timely && m.out+1 >= m.limit/2:
-		m.limit += r.part / (2 * m.limit)
+		m.limit += least * r.part / (4 * m.limit)
 	case !timely && 4*late >= max(all, w) && r.now-m.cutAt > round:
 		m.cutAt = r.now
 		m.limit = max(min(m.limit, m.out+1)*cut, least*r.part)
@@ -346,30 +347,28 @@
 }
 
 // window is how many of the last hops a share is taken of at least: enough that a quarter is no chance, few
-// enough to turn within a second. Where more ended lately all count: at hundreds a second sixteen are some
-// tens of milliseconds, and of one such sixteen in each round a quarter is late by chance.
-const window, lately = 16, 1 * sec
+// enough to turn within a second. All of lately count: at hundreds a second sixteen in a round are, by chance.
+const window, lately = 16, 250 * ms
 
 type end struct {
 	at  int64
 	bad bool
 }
 
-func (r *Router) note(list []end, bad bool, least int) []end {
-	old := 0
-	for len(list)-old >= least && list[old].at <= r.now-lately {
-		old++
+func (r *Router) note(list []end, bad bool) []end {
+	for len(list) >= window && list[0].at <= r.now-lately {
+		list = slices.Delete(list, 0, 1)
 	}
-	return append(slices.Delete(list, 0, old), end{r.now, bad})
+	return append(list, end{r.now, bad})
 }
 
-func lateOf(list []end) (late, all int) {
-	for _, e := range list {
-		if e.bad {
+func (r *Router) lateOf(list []end, least int) (late, all int) {
+	for i := len(list) - 1; i >= 0 && (all < least || list[i].at > r.now-lately); i-- {
+		if all++; list[i].bad {
 			late++
 		}
 	}
-	return late, len(list)
+	return late, all
 }
 
 // chance draws from [0, 1) by a permuted congruential generator (XSH-RR, 64 bits of state).
@@ -679,6 +678,7 @@
 		if s.room = &r.beyond; s.role == edge {
 			s.room = &s.own
 			for i := range s.room {
+				s.own[i].size, r.beyond[i].size = s.weight, s.weight
 				s.own[i].limit = cmp.Or(s.own[i].limit, start*s.weight*r.part)
 				r.beyond[i].limit = cmp.Or(r.beyond[i].limit, s.own[i].limit)
 			}
@@ -741,8 +741,8 @@
 
 // idle tells whether a cache has room for the txns of a jammed one: where one cache is short and others are
 // not, a second copy costs less than a rejection. In a jam of all it must not act: it would scatter copies.
-func idle(s *server) bool {
-	late, all := lateOf(s.room[fills].late)
+func (r *Router) idle(s *server) bool {
+	late, all := r.lateOf(s.room[fills].late, window)
 	return window*late < max(all, 1) && 3*s.room[fills].out < s.room[fills].limit
 }
 
@@ -821,7 +821,7 @@
 	const slack = 0.5 // a fuller link in is itself what makes fills late
 	mode, kind, grace := 0, fills, int64(0)
 	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
-		if next := r.pick(t, edge, work, idle); next != nil {
+		if next := r.pick(t, edge, work, r.idle); next != nil {
 			to = next
 		} else if t.looked++; t.looked == looks && !r.jammed(t, &to.room[looks]) {
 			kind, from, grace = looks, to, t.rule.grace
@@ -877,7 +877,8 @@
 	}
 	// A read that failed goes again only while few of the router's fills do: tries after failures feed a jam and
 	// cost a crowded origin the writes. It harms where one cache of few fails alone, until that one rests.
-	if failed, all := lateOf(r.failed); 4*failed >= max(all, window) && t.hops[len(t.hops)-1].kind == fills {
+	failed, all := r.lateOf(r.failed, window)
+	if 4*failed >= max(all, window) && t.hops[len(t.hops)-1].kind == fills {
 		r.giveUp(t)
 		return
 	}
@@ -954,7 +955,7 @@
 		r.ended(t, h, e.Code == "done" && !r.overdue(t, h))
 	}
 	if h.kind == fills && !t.rule.write && e.Code != "ecanceled" {
-		r.failed = r.note(r.failed, e.Code != "done", window)
+		r.failed = r.note(r.failed, e.Code != "done")
 	}
 	if e.Final {
 		r.step(t, inFinal)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -262,6 +262,20 @@
 	}
 }
 
+// Behind one parent that was left, misses took longer than their SLA time whatever was sent: limits fell to
+// two hops at caches whose links carry two hundred, and nothing that was rejected filled them again.
+func TestLimitLeavesAPartOfTheLink(t *testing.T) {
+	r := router(nil)
+	m := &room{limit: 100, size: 240}
+	for range 1000 {
+		r.now += 10 * ms
+		r.learn(m, false)
+	}
+	if m.limit != 30 {
+		t.Fatalf("limit %v, want an eighth of 240", m.limit)
+	}
+}
+
 func TestPoorestIsShedFirst(t *testing.T) {
 	r := router(nil)
 	r.values = []float64{1, 2, 3, 4}
