Test core, parsers, configuration, board and a whole conversation; mend what they found

A body that was answered as its client left was never given back, nor was a request's body whose hop was withdrawn before it was written; a notice board that ended its connection behind an answer was logged as lost. Faults of the configuration name the key as the file writes it. Late answers are counted in the status line and not logged one by one.

--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
@@ -84,7 +86,9 @@
 	log.SetLevel(lv)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
 		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
-	return serve(c, known, log)
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	return serve(c, known, log, term)
 }
 
 // version is that of the module, with the commit where the build knows it.
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -5,11 +5,9 @@
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,7 +32,8 @@
 
 func clock() int64 { return time.Now().UnixMicro() }
 
-func serve(c *config.Config, known *board.News, logger *logrus.Logger) error {
+// serve runs the router until a signal comes on term.
+func serve(c *config.Config, known *board.News, logger *logrus.Logger, term <-chan os.Signal) error {
 	runtime.GOMAXPROCS(max(int(c.Cores), 1))
 	debug.SetMemoryLimit(c.Limits.Memory)
 	set := c.Settings.Logic()
@@ -47,7 +46,7 @@
 	})
 	bodies := buffer.NewPool(c.Limits.Held)
 	r.up = upstream.New(c.Limits, bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) }, r.log)
-	r.front = front.New(r.core, r.up, bodies, c.Limits, r.log)
+	r.front = front.New(r.core, r.up, bodies, c.Limits)
 	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": set.Zone,
 		"rules": len(set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
@@ -56,8 +55,6 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 
@@ -131,7 +128,8 @@
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	txns, servers := r.core.Count()
-	r.log.WithFields(logrus.Fields{"txns": txns, "servers": servers, "clients": r.front.Clients(),
+	clients, late := r.front.Count()
+	r.log.WithFields(logrus.Fields{"txns": txns, "servers": servers, "clients": clients, "late_answers": late,
 		"upstream": r.up.Count(), "goroutines": runtime.NumGoroutine(), "memory_mb": m.Sys >> 20,
 		"collections": m.NumGC, "timer_late_ms_most": lag.Milliseconds()}).Info("status")
 }
--- /dev/null
+++ b/cmd/quilldoor/serve_test.go
@@ -0,0 +1,364 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quilldoor/internal/board"
+	"quilldoor/internal/config"
+)
+
+// standIn is a cache server of the test's own: it passes the lines it gets to
+// got and writes what answer makes of a GET. An answer of "CLOSE" ends the
+// connection behind what stands before it; an empty one leaves the hop open.
+type standIn struct {
+	net.Listener
+	got    chan string
+	answer func(id, fields, body string) string
+}
+
+func newStandIn(t *testing.T, answer func(id, fields, body string) string) *standIn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &standIn{l, make(chan string, 1000), answer}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		line = strings.TrimSpace(line)
+		words := strings.Fields(line)
+		if words[0] != "GET" {
+			s.got <- line
+			continue
+		}
+		n, _ := strconv.Atoi(words[3])
+		body := make([]byte, n+2)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return
+		}
+		s.got <- line
+		text, end := strings.CutSuffix(s.answer(words[1], words[2], string(body[:n])), "CLOSE")
+		c.Write([]byte(text))
+		if end {
+			return
+		}
+	}
+}
+
+func ack(id, body string) string {
+	return fmt.Sprintf("%s ACK entity=e1,detail=HIT %d\r\n%s\r\n", id, len(body), body)
+}
+
+// startRouter starts one with a cache and an origin, and gives its address, the
+// channel for its signal and that of its end.
+func startRouter(t *testing.T, cache, origin string) (addr string, term chan os.Signal, end chan error) {
+	t.Helper()
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = free.Addr().String()
+	free.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	target := `{"uid":"%s","endpoint":"%s","az":"z","model":"%s","state":"ready","capacity_hint":50}`
+	text := `{"name":"t","listen":"` + addr + `","seed":"1","board":"127.0.0.1:1","known":{"rev":1,"notices":[
+	 {"rev":1,"pool":{"all":true,"targets":[` + fmt.Sprintf(target, "c", cache, "box") + "," +
+		fmt.Sprintf(target, "o", origin, "origin") + `]}}]},
+	 "settings":{"Zone":"z","Zones":["z"],"Kinds":["box","origin"],"Siblings":1,
+	  "FamilyInfo":{"MasterKind":1,"BypassAllowed":true,"GoesThrough":[false,true],"NotesGiven":"all"},
+	  "Limits":{"MostTries":6,"Cancel":true,"SecondCopies":true,"RetryAfter":true,"MaxRetryAfterMs":500,"StreamsPerConn":32},
+	  "Classes":[{"Name":"page","Effect":"safe","TargetMs":500,"GiveUpMs":2000,"Value":1},
+	   {"Name":"sign","Effect":"unsafe","TargetMs":500,"GiveUpMs":2000,"Value":1}]}}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := config.Load(config.Overrides{File: path}, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Limits.AcceptOn, c.Limits.ServeOn = 300*time.Millisecond, 50*time.Millisecond
+	known, err := board.Parse(c.Known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	term, end = make(chan os.Signal, 1), make(chan error, 1)
+	go func() { end <- serve(c, known, log, term) }()
+	t.Cleanup(func() {
+		term <- syscall.SIGTERM
+		if err := <-end; err != nil {
+			t.Error(err)
+		}
+	})
+	for range 1000 {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			return addr, term, end
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the router doesn't listen")
+	return
+}
+
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return &client{c, bufio.NewReader(c)}
+}
+
+var txns = 0
+
+// send writes a txn's request; more stands among its headers.
+func (c *client) send(method, target, more, body string) {
+	txns++
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: %016x\r\nX-Ttl-Ms: 1500\r\nX-Shard: 7\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, target, txns, more, len(body), body)
+}
+
+// reply reads an answer: its status, head and body.
+func (c *client) reply(t *testing.T) (status, head, body string) {
+	t.Helper()
+	length := 0
+	for {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			t.Fatalf("after %q: %v", head, err)
+		}
+		if n, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			length, _ = strconv.Atoi(strings.TrimSpace(n))
+		}
+		if head += line; line == "\r\n" {
+			break
+		}
+	}
+	b := make([]byte, length)
+	if _, err := io.ReadFull(c.r, b); err != nil {
+		t.Fatal(err)
+	}
+	return head[9:12], head, string(b)
+}
+
+func (c *client) want(t *testing.T, status string) (head, body string) {
+	t.Helper()
+	got, head, body := c.reply(t)
+	if got != status {
+		t.Fatalf("status %s, want %s: %q", got, status, head)
+	}
+	return head, body
+}
+
+func TestConversation(t *testing.T) {
+	long := strings.Repeat("0123456789", 24_000)
+	origin := newStandIn(t, func(id, _, body string) string { return ack(id, "signed "+body) })
+	cache := newStandIn(t, func(id, fields, _ string) string {
+		if strings.Contains(fields, "mine=e1") {
+			return id + " NOMOD entity=e1 0\r\n\r\n"
+		}
+		return ack(id, long)
+	})
+	addr, _, _ := startRouter(t, cache.Addr().String(), origin.Addr().String())
+	c := dial(t, addr)
+	io.WriteString(c, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.want(t, "200")
+	c.send("GET", "/rpc/page/ab/n-3", "", "")
+	if head, body := c.want(t, "200"); body != long || !strings.Contains(head, "ETag: \"e1\"") {
+		t.Fatalf("%d bytes behind %q", len(body), head)
+	}
+	line := <-cache.got
+	if want := fmt.Sprintf("GET %016x queue=page,path=ab,blk=3,budget=", txns); !strings.HasPrefix(line, want) ||
+		!strings.Contains(line, ",miss=o,prio=2") {
+		t.Fatal(line)
+	}
+	c.send("GET", "/rpc/page/ab/n-3", "If-None-Match: \"e1\"\r\n", "")
+	if _, body := c.want(t, "304"); body != "" {
+		t.Fatal(body)
+	}
+	c.send("PUT", "/rpc/sign/cd", "X-Second-Try: 1\r\n", "name")
+	if _, body := c.want(t, "200"); body != "signed name" {
+		t.Fatal(body)
+	}
+	if line := <-origin.got; strings.Contains(line, "miss=") || !strings.HasSuffix(line, " 4") {
+		t.Fatal(line)
+	}
+}
+
+func TestBadRequestsAreAnswered(t *testing.T) {
+	none := newStandIn(t, func(string, string, string) string { return "" })
+	addr, _, _ := startRouter(t, none.Addr().String(), none.Addr().String())
+	c := dial(t, addr)
+	for target, status := range map[string]string{"/rpc/none/x": "404", "/other": "404", "/rpc/page/a,b": "400",
+		"/rpc/page/a/n--1": "400", "/rpc/page/a/3": "400", "/rpc/sign/x": "405"} {
+		c.send("GET", target, "", "")
+		c.want(t, status)
+	}
+	for _, header := range []string{"X-Txn: 12", "X-Ttl-Ms: -5", "X-Ttl-Ms: soon", "X-Shard: 256"} {
+		name, _, _ := strings.Cut(header, ":")
+		text := "GET /rpc/page/x HTTP/1.1\r\nHost: x\r\nX-Txn: 00000000000000aa\r\nX-Ttl-Ms: 5\r\nX-Shard: 1\r\n\r\n"
+		at := strings.Index(text, name)
+		io.WriteString(c, text[:at]+header+text[at+strings.Index(text[at:], "\r"):])
+		c.want(t, "400")
+	}
+	for text, status := range map[string]string{"nonsense\r\n\r\n": "400", "GET /" + strings.Repeat("x", 20_000): "431",
+		"PUT / HTTP/1.1\r\nContent-Length: 48001\r\n\r\n": "413"} {
+		c := dial(t, addr)
+		io.WriteString(c, text)
+		c.want(t, status)
+		if _, err := c.r.ReadByte(); err == nil {
+			t.Errorf("%.20q: the connection goes on", text)
+		}
+	}
+	if len(none.got) > 0 {
+		t.Errorf("a hop went out: %s", <-none.got)
+	}
+}
+
+// A wait for a hop once didn't see that its client had gone.
+func TestLeavingClientGivesItsHopUp(t *testing.T) {
+	silent := newStandIn(t, func(string, string, string) string { return "" })
+	addr, _, _ := startRouter(t, silent.Addr().String(), silent.Addr().String())
+	c := dial(t, addr)
+	c.send("GET", "/rpc/page/x", "", "")
+	id := strings.Fields(<-silent.got)[1]
+	c.Close()
+	if line := <-silent.got; line != "DROP "+id {
+		t.Fatal(line)
+	}
+}
+
+func TestSilentServerHoldsUpNoOtherHop(t *testing.T) {
+	cache := newStandIn(t, func(id, fields, _ string) string {
+		if strings.Contains(fields, "path=slow,") {
+			return ""
+		}
+		return ack(id, "quick")
+	})
+	addr, _, _ := startRouter(t, cache.Addr().String(), cache.Addr().String())
+	slow, quick := dial(t, addr), dial(t, addr)
+	slow.send("GET", "/rpc/page/slow", "", "")
+	<-cache.got
+	quick.send("GET", "/rpc/page/x", "", "")
+	quick.want(t, "200")
+	// The slow one is answered in its time, too, and its connection goes on.
+	if status, _, _ := slow.reply(t); status != "503" && status != "504" {
+		t.Fatal(status)
+	}
+	slow.send("GET", "/rpc/page/x", "", "")
+	slow.want(t, "200")
+}
+
+// What broke off, or broke the protocol, was answered whole by the next try.
+func TestBrokenAnswersAreTriedAgain(t *testing.T) {
+	for _, first := range []string{"CLOSE", "%s ACK - 10\r\n01234CLOSE", "%s ACK - -1\r\n", "nobody ACK - 0\r\n\r\n", "x\r\n"} {
+		tries := 0
+		server := newStandIn(t, func(id, _, _ string) string {
+			if tries++; tries == 1 {
+				return strings.Replace(first, "%s", id, 1)
+			}
+			return ack(id, "whole")
+		})
+		addr, _, _ := startRouter(t, server.Addr().String(), server.Addr().String())
+		c := dial(t, addr)
+		c.send("GET", "/rpc/page/x", "", "")
+		if _, body := c.want(t, "200"); body != "whole" {
+			t.Errorf("%q: %q", first, body)
+		}
+	}
+}
+
+// An unrepeatable txn that may have run is aborted; where it is proven that it
+// has not, it goes again and may be rejected.
+func TestUnrepeatableTxns(t *testing.T) {
+	for answer, want := range map[string]string{"%s EIO - 0\r\n\r\n": "504", "CLOSE": "504", "%s AGAIN - 0\r\n\r\n": "503"} {
+		origin := newStandIn(t, func(id, _, _ string) string { return strings.Replace(answer, "%s", id, 1) })
+		addr, _, _ := startRouter(t, origin.Addr().String(), origin.Addr().String())
+		c := dial(t, addr)
+		c.send("PUT", "/rpc/sign/x", "", "name")
+		head, _ := c.want(t, want)
+		if tries := len(origin.got); (tries > 1) != (want == "503") {
+			t.Errorf("%q: %d tries", answer, tries)
+		}
+		if strings.Contains(head, "X-Throttle-Ms: 500") != (want == "503") {
+			t.Errorf("%q: %s", answer, head)
+		}
+	}
+}
+
+func TestRefusedConnectionsAreProof(t *testing.T) {
+	gone := newStandIn(t, nil)
+	gone.Close()
+	addr, _, _ := startRouter(t, gone.Addr().String(), gone.Addr().String())
+	c := dial(t, addr)
+	c.send("PUT", "/rpc/sign/x", "", "name")
+	c.want(t, "503")
+}
+
+// What was taken before and shortly after the signal is answered.
+func TestShutdownAnswersAll(t *testing.T) {
+	release := make(chan bool)
+	cache := newStandIn(t, func(id, fields, _ string) string {
+		if strings.Contains(fields, "path=held,") {
+			<-release
+		}
+		return ack(id, "there")
+	})
+	addr, term, end := startRouter(t, cache.Addr().String(), cache.Addr().String())
+	held := dial(t, addr)
+	held.send("GET", "/rpc/page/held", "", "")
+	<-cache.got
+	term <- syscall.SIGTERM
+	late := dial(t, addr)
+	late.send("GET", "/rpc/page/x", "", "")
+	late.want(t, "200")
+	close(release)
+	held.want(t, "200")
+	err := <-end
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.Dial("tcp", addr); err == nil {
+		t.Fatal("still listening")
+	}
+	end <- nil
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -149,12 +149,14 @@
 			}
 			f.Apply(news)
 			wait, lost = 0, false
-			continue
 		}
-		if c != nil {
+		if c != nil && (err != nil || c.last) {
 			c.stop()
 			c = nil
 		}
+		if err == nil {
+			continue
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -177,6 +179,7 @@
 	net.Conn
 	r     *bufio.Reader
 	unget func() bool // ends the watch on the context
+	last  bool        // the board ends it behind its answer
 }
 
 func (c *conn) stop() {
@@ -190,11 +193,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{sock, bufio.NewReaderSize(sock, buffer.Size), context.AfterFunc(ctx, func() { sock.Close() })}, nil
+	return &conn{Conn: sock, r: bufio.NewReaderSize(sock, buffer.Size),
+		unget: context.AfterFunc(ctx, func() { sock.Close() })}, nil
 }
 
-// poll asks for what comes behind the last event. A connection that the board
-// means to close is not used again, which the next poll finds out.
+// poll asks for what comes behind the last event.
 func (f *Follower) poll(c *conn) (*News, error) {
 	target := "/board/poll?watch=" + strconv.FormatInt(f.rev, 10) +
 		"&linger=" + strconv.FormatInt(f.limits.Linger.Milliseconds(), 10)
@@ -222,8 +225,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if h.Close || h.Length < 0 {
-		c.Close()
-	}
+	c.last = h.Close || h.Length < 0
 	return Parse(body)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,17 +33,17 @@
 }
 
 type file struct {
-	Name   *string
-	Listen *string
-	Seed   *string
+	Name   *string `json:"name"`
+	Listen *string `json:"listen"`
+	Seed   *string `json:"seed"`
 	Limits struct {
-		Cores    *float64
+		Cores    *float64 `json:"cores"`
 		MemoryMB *float64 `json:"memory_mb"`
-		Sockets  *float64
-	}
-	Board    *string
-	Known    json.RawMessage
-	Settings *settings.Setup
+		Sockets  *float64 `json:"sockets"`
+	} `json:"limits"`
+	Board    *string         `json:"board"`
+	Known    json.RawMessage `json:"known"`
+	Settings *settings.Setup `json:"settings"`
 }
 
 // Load reads the configuration.
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,82 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:8080","seed":"8c1f30d27a5be964","board":"127.0.0.1:2379","unknown":1,
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "settings":{"Zone":"z","Kinds":["box","origin"],"Siblings":1,"FamilyInfo":{"MasterKind":1,"PurgeGraceMs":200},
+  "Contract":{"DrainGraceMs":500},"Limits":{"ConnectTimeoutMs":400,"ConnIdleMs":15000,"StreamsPerConn":32},
+  "Classes":[{"Name":"page","Effect":"safe","TargetMs":250,"GiveUpMs":3000}]}}`
+
+func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(Overrides{File: path}, func(name string) string { return env[name] })
+}
+
+func TestGoodConfiguration(t *testing.T) {
+	c, err := load(t, good, map[string]string{"LB_NAME": "other", "LB_CONFIG": "/nowhere"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := c.Limits
+	if c.Name != "other" || c.Seed != 0x8c1f30d27a5be964 || l.Streams != 32 || l.IdleUpstream != 12*time.Second {
+		t.Fatalf("%+v %+v", c, l)
+	}
+	if l.Clients < 1024/3 || l.Clients+l.Upstream > 900 || l.Memory+0 >= 192<<20 {
+		t.Fatalf("%d clients, %d upstream, %d bytes", l.Clients, l.Upstream, l.Memory)
+	}
+	// A hop that waits longer for its connection could be written past the graces.
+	if l.Connect != 150*time.Millisecond {
+		t.Fatalf("connect %v with a grace of 200 ms", l.Connect)
+	}
+}
+
+func TestFaultsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"name":"n3",`, ``, "name: missing"},
+		{`"n3"`, `5`, "name: number where a text is wanted"},
+		{`"127.0.0.1:8080"`, `"here"`, "listen: not an address"},
+		{`"board":"127.0.0.1:2379",`, ``, "board: missing"},
+		{`8c1f30d27a5be964`, `xyz`, "seed: not"},
+		{`"seed":"8c1f30d27a5be964",`, ``, "seed: missing"},
+		{`"memory_mb":192`, `"memory_mb":-1`, "limits.memory_mb: -1 is not within"},
+		{`"memory_mb":192`, `"memory_mb":"x"`, "limits.memory_mb: string where a number"},
+		{`"sockets":1024`, `"sockets":3`, "limits.sockets: 3 is not within"},
+		{`"settings":{`, `"other":{`, "settings: missing"},
+		{`"Zone":"z",`, ``, "settings.Zone: missing"},
+		{`"MasterKind":1`, `"MasterKind":2`, "settings.FamilyInfo.MasterKind"},
+		{`"Effect":"safe"`, `"Effect":"none"`, `settings.Classes[0].Effect: "none"`},
+		{`"TargetMs":250`, `"TargetMs":0`, "settings.Classes[0].TargetMs"},
+		{`"GiveUpMs":3000`, `"GiveUpMs":1e9`, "settings.Classes[0].GiveUpMs"},
+		{`"GiveUpMs":3000`, `"GiveUpMs":3000,"Streamed":true`, "settings.Classes[0].Streamed"},
+		{`"Name":"page"`, `"Name":"a,b"`, "settings.Classes[0].Name"},
+		{`"Siblings":1`, `"Siblings":-1`, "settings.Siblings: negative"},
+		{`"Siblings":1`, `"Tenants":[{"Name":"t"}]`, "settings.Tenants: "},
+		{`"Siblings":1`, `"Siblings":"one"`, "settings.Siblings: string where a number"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if !json.Valid([]byte(text)) || text == good {
+			t.Fatalf("bad case %q", c.new)
+		}
+		if _, err := load(t, text, nil); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %s", c.new, err, c.want)
+		}
+	}
+	if _, err := load(t, "{", nil); err == nil {
+		t.Error("half a file passes")
+	}
+	if _, err := Load(Overrides{}, func(string) string { return "" }); err == nil {
+		t.Error("no file passes")
+	}
+}
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,213 @@
+package core
+
+import (
+	"testing"
+
+	"quilldoor/logic"
+)
+
+const ms, start = int64(1000), int64(1_000_000_000)
+
+// world is a core that knows two caches and an origin, with its mailbox's bell.
+type world struct {
+	*Core
+	rings int
+}
+
+func newWorld(change func(*logic.Settings)) *world {
+	set := logic.Settings{
+		Siblings: 1, Zone: "z", Zones: []string{"z"}, Kinds: []string{"box", "origin"},
+		Contract: logic.Contract{AnswerSlack: 8 * ms, ColdFor: 1000 * ms, ColdFrom: 0.5, FallFor: 1000 * ms, FallMultiple: 2},
+		Limits:   logic.Limits{Cancel: true, SecondCopies: true, MaxHops: 6},
+		Family:   logic.Family{Direct: true, ParentKind: -1, OriginKind: 1, PurgeDone: 6000 * ms},
+		Rules: []logic.RemapRule{
+			{Name: "read", Effect: "safe", SLA: 200 * ms, Importance: 1},
+			{Name: "write", Effect: "unsafe", SLA: 200 * ms, Importance: 1, Write: true},
+		},
+	}
+	if change != nil {
+		change(&set)
+	}
+	w := &world{Core: New(&set, 1, func() {})}
+	w.Members(start, "disk", []Server{
+		{Entry: logic.Entry{Server: "a", Zone: "z", Kind: "box", State: "active", Weight: 8}, Endpoint: "a:1"},
+		{Entry: logic.Entry{Server: "b", Zone: "z", Kind: "box", State: "active", Weight: 8}, Endpoint: "b:1"},
+		{Entry: logic.Entry{Server: "o", Zone: "z", Kind: "origin", State: "active", Weight: 1}, Endpoint: "o:1"},
+	})
+	return w
+}
+
+func (w *world) ask(t *testing.T, rule string) *Txn {
+	t.Helper()
+	txn, err := w.Open(start, logic.Event{Txn: "t", Rule: rule, Object: "x", Remaining: 1000 * ms,
+		Write: rule == "write"}, func() { w.rings++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return txn
+}
+
+// next gives the one order in the mailbox, and fails the test if it is of
+// another kind.
+func next(t *testing.T, txn *Txn, kind OrderKind) Order {
+	t.Helper()
+	box := txn.Take()
+	if len(box) != 1 || box[0].Kind != kind {
+		t.Fatalf("orders %+v, want one of kind %d", box, kind)
+	}
+	return box[0]
+}
+
+type reply struct{ released int }
+
+func (r *reply) Release() { r.released++ }
+
+func TestFirstDoneIsTheAnswerAndALaterOneIsReleased(t *testing.T) {
+	w := newWorld(nil)
+	txn := w.ask(t, "read")
+	h := next(t, txn, Send).Hop
+	if w.rings == 0 || h.Source != "o" || h.Due != start+400*ms && h.Due != start+1000*ms {
+		t.Fatalf("hop %+v after %d rings", h, w.rings)
+	}
+	first, second := &reply{}, &reply{}
+	w.Ended(start+ms, h, Outcome{Code: "done", Reply: first})
+	w.Ended(start+2*ms, h, Outcome{Code: "done", Reply: second})
+	if o := next(t, txn, Completed); o.Reply != Reply(first) || first.released != 0 || second.released != 1 {
+		t.Fatalf("answer %+v, released %d and %d", o, first.released, second.released)
+	}
+	if n, _ := w.Count(); n != 0 || len(w.txns) != 0 {
+		t.Fatalf("%d txns open, %d remembered", n, len(w.txns))
+	}
+}
+
+// A client that had left was once answered, and its hop went on.
+func TestLeaveGivesTheHopUpAndOwesNothing(t *testing.T) {
+	w := newWorld(nil)
+	txn := w.ask(t, "read")
+	h := next(t, txn, Send).Hop
+	h.Begin()
+	w.Leave(start+ms, txn)
+	if o := next(t, txn, Drop); o.Hop != h {
+		t.Fatalf("dropped %+v", o.Hop)
+	}
+	late := &reply{}
+	w.Ended(start+2*ms, h, Outcome{Code: "done", Reply: late})
+	if box := txn.Take(); len(box) != 0 || late.released != 1 {
+		t.Fatalf("orders %+v, released %d", box, late.released)
+	}
+}
+
+func TestTimeLimitBringsOneAnswer(t *testing.T) {
+	w := newWorld(nil)
+	txn := w.ask(t, "write")
+	h := next(t, txn, Send).Hop
+	h.Begin()
+	if w.Run(start + 1000*ms - 1); len(txn.Take()) != 0 {
+		t.Fatal("something happened before the time limit")
+	}
+	w.Run(start + 1000*ms)
+	box := txn.Take()
+	if len(box) != 2 || box[0].Kind != Drop || !box[0].Silent || box[1].Kind != Aborted {
+		t.Fatalf("orders %+v, want a silent drop and an abort", box)
+	}
+	if w.Run(start + 1100*ms); len(txn.Take()) != 0 {
+		t.Fatal("answered again")
+	}
+}
+
+// An unrepeatable txn whose hop never reached a connection may be tried again;
+// one that may have come whole is aborted.
+func TestProofThatNothingRan(t *testing.T) {
+	for begun, want := range map[bool]OrderKind{false: Rejected, true: Aborted} {
+		w := newWorld(nil)
+		txn := w.ask(t, "write")
+		h := next(t, txn, Send).Hop
+		if begun && !h.Begin() {
+			t.Fatal("not begun")
+		}
+		code := "econnreset"
+		if h.Withdraw() {
+			code = "econnrefused"
+		}
+		if h.Begin() {
+			t.Fatal("written after it was withdrawn or begun")
+		}
+		w.Ended(start+950*ms, h, Outcome{Code: code})
+		next(t, txn, want)
+	}
+}
+
+func TestDrainedServerIsNotSentTo(t *testing.T) {
+	w := newWorld(nil)
+	var list []Server
+	for _, id := range []string{"a", "b"} {
+		list = append(list, Server{Entry: logic.Entry{Server: id, Zone: "z", Kind: "box", State: "leaving", Weight: 8}})
+	}
+	if gone := w.Members(start, "diff", list); len(gone) != 2 {
+		t.Fatalf("retired %v", gone)
+	}
+	if h := next(t, w.ask(t, "read"), Send).Hop; h.Server.Server != "o" || h.Source != "" {
+		t.Fatalf("sent to %s with source %q", h.Server.Server, h.Source)
+	}
+	if gone := w.Members(start, "snapshot", nil); len(gone) != 3 {
+		t.Fatalf("a whole list without them retired %v", gone)
+	}
+}
+
+func TestOpenIsBounded(t *testing.T) {
+	w := newWorld(func(s *logic.Settings) { s.Limits.MaxOpen = 2 })
+	w.ask(t, "read")
+	if _, err := w.Open(start, logic.Event{Txn: "t", Rule: "read"}, nil); err != ErrTwin {
+		t.Fatalf("the same id again: %v", err)
+	}
+	w.Open(start, logic.Event{Txn: "u", Rule: "read", Object: "x", Remaining: ms}, func() {})
+	if _, err := w.Open(start, logic.Event{Txn: "v", Rule: "read"}, nil); err != ErrFull {
+		t.Fatalf("one too many: %v", err)
+	}
+}
+
+// Orders that come once nobody reads the mailbox were once lost.
+func TestOrdersAfterDetachAreErrands(t *testing.T) {
+	w := newWorld(func(s *logic.Settings) { s.Limits.Cancel = false })
+	txn := w.ask(t, "read")
+	h := next(t, txn, Send).Hop
+	h.Begin()
+	w.Leave(start+ms, txn)
+	txn.Detach()
+	if _, errands := w.Run(start + 1000*ms); len(errands) != 1 || errands[0].Kind != Drop || errands[0].Hop != h {
+		t.Fatalf("errands %+v", errands)
+	}
+}
+
+func TestOldPurgesAreNotTold(t *testing.T) {
+	w := newWorld(nil)
+	w.Purge(start, "x", 0, start-7000*ms)
+	if h := next(t, w.ask(t, "read"), Send).Hop; h.Age != 0 {
+		t.Fatalf("age %d by a purge that binds no more", h.Age)
+	}
+	w = newWorld(nil)
+	w.Purge(start, "", 0, start-500*ms)
+	if h := next(t, w.ask(t, "read"), Send).Hop; h.Age <= 0 || h.Age >= 500*ms {
+		t.Fatalf("age %d by a purge 500 ms ago", h.Age)
+	}
+}
+
+// A whole body that came for a hop out of time is not an answer, and the timer
+// of a hop that has ended does nothing.
+func TestTimersOfEndedHopsAreIgnored(t *testing.T) {
+	w := newWorld(nil)
+	txn := w.ask(t, "read")
+	h := next(t, txn, Send).Hop
+	h.Begin()
+	w.Ended(start+ms, h, Outcome{Code: "enoent"})
+	again := next(t, txn, Send).Hop
+	if again.N != 1 || again == h {
+		t.Fatalf("second hop %+v", again)
+	}
+	again.Begin()
+	w.Ended(start+2*ms, again, Outcome{Code: "done", Reply: &reply{}})
+	next(t, txn, Completed)
+	if w.Run(start + 2000*ms); len(txn.Take()) != 0 {
+		t.Fatal("an ended txn has orders")
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
@@ -26,7 +24,7 @@
 	up       *upstream.Pool
 	bodies   *buffer.Pool
 	limits   *config.Limits
-	log      *logrus.Entry
+	late     atomic.Int64 // answers after their time limits
 	ready    atomic.Bool
 	draining atomic.Bool
 
@@ -37,8 +35,8 @@
 }
 
 // New makes a front; it is ready once told so.
-func New(c *core.Core, up *upstream.Pool, bodies *buffer.Pool, limits *config.Limits, log *logrus.Entry) *Front {
-	f := &Front{core: c, up: up, bodies: bodies, limits: limits, log: log, clients: map[*client]bool{}}
+func New(c *core.Core, up *upstream.Pool, bodies *buffer.Pool, limits *config.Limits) *Front {
+	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]bool{}}
 	f.room.L, f.none.L = &f.mu, &f.mu
 	return f
 }
@@ -105,11 +103,12 @@
 	return len(f.clients)
 }
 
-// Clients tells how many connections there are.
-func (f *Front) Clients() int {
+// Count tells how many clients there are, and how many answers came late since
+// it was last asked.
+func (f *Front) Count() (clients int, late int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.clients)
+	return len(f.clients), f.late.Swap(0)
 }
 
 // client is a connection.
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
@@ -113,20 +111,25 @@
 				o.Hop.Carrier = flight
 				f.up.Send(flight)
 			case core.Drop:
-				o.Hop.Carrier.Drop(o.Silent)
+				f.leave(o)
 			default:
 				final = &o
 			}
 		}
-		if late := time.Since(limit); final != nil && late > f.limits.ReplySlack/2 {
-			f.log.WithFields(logrus.Fields{"txn": t.ID, "late_ms": late.Milliseconds(), "answer": final.Kind}).
-				Warn("answer after the time limit")
-		}
 		if final != nil || !here {
 			for _, o := range t.Detach() {
-				o.Hop.Carrier.Drop(o.Silent)
+				f.leave(o)
+			}
+			if !here {
+				if final != nil {
+					f.leave(*final) // it came as the client left
+				}
+				return false
+			}
+			if time.Since(limit) > f.limits.ReplySlack/2 {
+				f.late.Add(1)
 			}
-			return here && f.answer(c, final, limit, last)
+			return f.answer(c, final, limit, last)
 		}
 		if here = f.wait(c, arrived); !here {
 			f.core.Leave(time.Now().UnixMicro(), t)
@@ -134,6 +137,16 @@
 	}
 }
 
+// leave does what is left to do of an order that nobody waits for.
+func (f *Front) leave(o core.Order) {
+	if o.Kind == core.Drop && o.Hop.Carrier != nil {
+		o.Hop.Carrier.Drop(o.Silent)
+	}
+	if o.Reply != nil {
+		o.Reply.Release()
+	}
+}
+
 // wait returns when the mailbox has something, or false once the client has
 // left. It sees both by one read that the mailbox's bell cuts short. A client
 // that sends on early can't be watched any further.
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,97 @@
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"strings"
+	"testing"
+)
+
+var bounds = Bounds{Bytes: 1000, Fields: 5, Body: 100}
+
+func read(text string) (*Head, error) {
+	return ReadRequest(bufio.NewReaderSize(strings.NewReader(text), 512), bounds)
+}
+
+func TestRequest(t *testing.T) {
+	h, err := read("PUT /rpc/a/b HTTP/1.1\r\nHost: x\r\nX-Txn:  7 \r\nContent-Length: 3\r\nConnection: foo, Close\r\n\r\nabc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, _ := h.Get("x-txn"); v != "7" || h.Method != "PUT" || h.Target != "/rpc/a/b" || h.Length != 3 || !h.Close {
+		t.Fatalf("%+v", h)
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	for text, status := range map[string]int{
+		"GET /\r\n\r\n":                                                                      400,
+		"GET / HTTP/1.1 x\r\n\r\n":                                                           400,
+		"G@T / HTTP/1.1\r\n\r\n":                                                             400,
+		"GET /\x01 HTTP/1.1\r\nHost: x\r\n\r\n":                                              400,
+		"GET / HTTP/3.0\r\n\r\n":                                                             505,
+		"GET / HTTP/1.1\r\n\r\n":                                                             400, // no Host
+		"GET / HTTP/1.1\r\nHost x\r\n\r\n":                                                   400,
+		"GET / HTTP/1.1\r\nHost : x\r\n\r\n":                                                 400,
+		"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n":                                       400,
+		"GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\n":                                       400,
+		"GET / HTTP/1.1\r\nContent-Length: 1e1\r\n\r\n":                                      400,
+		"GET / HTTP/1.1\r\nContent-Length: 101\r\n\r\n":                                      413,
+		"GET / HTTP/1.1\r\nContent-Length: 1" + strings.Repeat("0", 40) + "\r\n\r\n":         413,
+		"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n":                   400,
+		"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n":                               501,
+		"GET /" + strings.Repeat("x", 600) + " HTTP/1.1\r\n\r\n":                             431,
+		"GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 6) + "\r\n":                        431,
+		"GET / HTTP/1.1\r\n" + strings.Repeat("A: "+strings.Repeat("b", 400)+"\r\n", 3) + "": 431,
+	} {
+		_, err := read(text)
+		var fault *Error
+		if !errors.As(err, &fault) || fault.Status != status {
+			t.Errorf("%.60q: %v, want %d", text, err, status)
+		}
+	}
+}
+
+func TestHalfARequestIsNoFault(t *testing.T) {
+	for _, text := range []string{"", "GET / HT", "GET / HTTP/1.1\r\nHost: x\r\n"} {
+		_, err := read(text)
+		var fault *Error
+		if err == nil || errors.As(err, &fault) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+func TestResponse(t *testing.T) {
+	h, err := ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")), bounds)
+	if err != nil || h.Status != 200 || h.Length != 2 {
+		t.Fatalf("%+v, %v", h, err)
+	}
+	for _, text := range []string{"HTTP/1.1 abc\r\n\r\n", "ICY 200 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "\r\n\r\n"} {
+		if _, err := ReadResponse(bufio.NewReader(strings.NewReader(text)), bounds); err == nil {
+			t.Errorf("%q passes", text)
+		}
+	}
+}
+
+func TestAppendResponse(t *testing.T) {
+	got := string(AppendResponse(nil, 304, 0, true, Field{"ETag", `"x"`}))
+	if want := "HTTP/1.1 304 Not Modified\r\nConnection: close\r\nETag: \"x\"\r\n\r\n"; got != want {
+		t.Errorf("%q", got)
+	}
+	if got := string(AppendResponse(nil, 200, 5, false)); got != "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+// FuzzRequest looks for panics and for heads that break the bounds.
+func FuzzRequest(f *testing.F) {
+	f.Add("GET /rpc/a/b HTTP/1.1\r\nHost: x\r\nX-Txn: 0123456789abcdef\r\n\r\n")
+	f.Add("PUT / HTTP/1.0\r\nContent-Length: 100\r\nExpect: 100-continue\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		h, err := read(text)
+		if err == nil && (h.Length < 0 || h.Length > bounds.Body || len(h.Fields) > bounds.Fields || h.Target == "") {
+			t.Fatalf("%+v", h)
+		}
+	})
+}
--- /dev/null
+++ b/internal/lines/lines_test.go
@@ -0,0 +1,69 @@
+package lines
+
+import (
+	"bufio"
+	"errors"
+	"strings"
+	"testing"
+)
+
+func TestCommands(t *testing.T) {
+	g := &Get{ID: "9b", Class: "page", Object: "x", Part: 3, Budget: 150, Length: 0}
+	want := "GET 9b queue=page,path=x,blk=3,budget=150 0\r\n"
+	if got := string(AppendGet(nil, g)); got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	g.Source, g.Rank, g.Age, g.Mode, g.Tag, g.Length = "o-1", 2, 40, 1|2|8, "tag", 7
+	want = "GET 9b queue=page,path=x,blk=3,budget=150,miss=o-1,prio=2,within=40,f=wait-for+no-fetch+background,mine=tag 7\r\n"
+	if got := string(AppendGet(nil, g)); got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	if got := string(AppendPing(AppendDrop(nil, "9b"), "p1")); got != "DROP 9b\r\nPING p1\r\n" {
+		t.Errorf("%q", got)
+	}
+}
+
+func read(text string) (Answer, error) {
+	return ReadAnswer(bufio.NewReaderSize(strings.NewReader(text), 256), 1000)
+}
+
+func TestAnswer(t *testing.T) {
+	a, err := read("9b ACK entity=4be0,issued=1764576000123,detail=MISS_ORIGIN,delay=12.5,use=util:0.61;x1:2,new=1 9\r\n")
+	if err != nil || a.ID != "9b" || a.Word != Ack || a.Tag != "4be0" || a.Issued != 1764576000123 || a.Note != 3 ||
+		a.Delay != 12.5 || a.Load["util"] != 0.61 || a.Load["x1"] != 2 || a.Length != 9 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	if a, err := read("p1 READY\r\n"); err != nil || a.Word != Ready || a.Length >= 0 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	for _, text := range []string{
+		"9b ACK - -1\r\n", "9b ACK - 1001\r\n", "9b ACK - 99999999999999999999\r\n", "9b ACK -\r\n", "9b HELLO - 0\r\n",
+		" ACK - 0\r\n", "9b ACK - 0\n", "9b ACK delay 0\r\n", "9b ACK delay=x 0\r\n", "9b ACK use=a:b 0\r\n",
+		"9b ACK issued=1.5 0\r\n", "\r\n", "9b ACK entity=" + strings.Repeat("x", 300) + " 0\r\n",
+	} {
+		if _, err := read(text); !errors.Is(err, ErrBroken) {
+			t.Errorf("%.50q: %v", text, err)
+		}
+	}
+	if _, err := read("9b ACK - 0"); err == nil || errors.Is(err, ErrBroken) {
+		t.Errorf("half a line: %v", err)
+	}
+	if err := ReadEnd(bufio.NewReader(strings.NewReader("xx"))); !errors.Is(err, ErrBroken) {
+		t.Errorf("no line's end behind a body: %v", err)
+	}
+}
+
+// FuzzAnswer looks for panics and for lengths outside the bound.
+func FuzzAnswer(f *testing.F) {
+	f.Add("9b ACK entity=4be0,issued=1,detail=HIT,delay=0.5,use=util:0.6;x0:1 9\r\n")
+	f.Add("p READY\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		a, err := read(text)
+		if err == nil && (a.Length > 1000 || a.Length < 0 && a.Word != Ready || a.Word == 0) {
+			t.Fatalf("%+v", a)
+		}
+	})
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -168,11 +168,12 @@
 		}
 		ends[i] = size
 	}
-	if size == 0 {
-		return true
+	var n int64
+	var err error
+	if size > 0 {
+		c.sock.SetWriteDeadline(now.Add(c.pool.limits.Write))
+		n, err = bufs.WriteTo(c.sock)
 	}
-	c.sock.SetWriteDeadline(now.Add(c.pool.limits.Write))
-	n, err := bufs.WriteTo(c.sock)
 	for i, it := range batch {
 		if it.flight == nil {
 			continue
