Grow the descriptor table at the start: a router stood still while it grew

A watch inside stood still too: timers 15 s late, all locks free, CPU idle. At fault: nothing reserved descriptors before clients came. reserve duplicates one to the highest number allowed and closes it, before the listener opens. The log goes through a goroutine of its own now, since one that nobody reads would have held up what time brings, and the status line stops the world no more.

--- /dev/null
+++ b/cmd/quilldoor/log_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"io"
+	"testing"
+	"time"
+)
+
+// A log that nobody read could hold up what time brings, time-outs among it.
+func TestBlockedLogHoldsNobodyUp(t *testing.T) {
+	r, w := io.Pipe() // a write waits for a read
+	o := newOutlet(w)
+	for range 1000 {
+		if n, err := o.Write([]byte("line\n")); n != 5 || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	o.flush(time.Millisecond)
+	if got, _ := io.ReadAll(io.LimitReader(r, 10)); string(got) != "line\nline\n" {
+		t.Fatalf("%q", got)
+	}
+}
--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/pflag"
@@ -82,7 +83,10 @@
 		fmt.Println("configuration of", c.Name, "is good")
 		return nil
 	}
+	out := newOutlet(os.Stderr)
+	defer out.flush(time.Second)
 	log := logrus.New()
+	log.SetOutput(out)
 	log.SetLevel(lv)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
 		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -7,10 +7,12 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 
 	"quilldoor/internal/board"
 	"quilldoor/internal/buffer"
@@ -51,6 +53,9 @@
 		"rules": len(set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
 
+	if err := reserve(c.Limits.Sockets); err != nil {
+		r.log.WithError(err).Warn("descriptor table not grown")
+	}
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -83,6 +88,22 @@
 	return nil
 }
 
+// reserve grows the table of descriptors to its bound while nothing waits for
+// it. The kernel waits for all cores when it grows the table of a process with
+// threads, on busy ones for seconds, and a socket that needs the new place holds
+// up the whole runtime meanwhile.
+func reserve(sockets int) error {
+	var most unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &most); err != nil {
+		return err
+	}
+	top, err := unix.FcntlInt(2, unix.F_DUPFD_CLOEXEC, min(sockets, int(most.Cur))-1)
+	if err != nil {
+		return err
+	}
+	return unix.Close(top)
+}
+
 // attend does what time brings: the module's timers, hops' time-outs, probes,
 // idle connections.
 func (r *router) attend(ctx context.Context) {
@@ -125,13 +146,13 @@
 
 // status tells how full the router is.
 func (r *router) status(lag time.Duration) {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
+	m := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/gc/cycles/total:gc-cycles"}}
+	metrics.Read(m)
 	txns, servers := r.core.Count()
 	clients, late := r.front.Count()
 	r.log.WithFields(logrus.Fields{"txns": txns, "servers": servers, "clients": clients, "late_answers": late,
-		"upstream": r.up.Count(), "goroutines": runtime.NumGoroutine(), "memory_mb": m.Sys >> 20,
-		"collections": m.NumGC, "timer_late_ms_most": lag.Milliseconds()}).Info("status")
+		"upstream": r.up.Count(), "goroutines": runtime.NumGoroutine(), "memory_mb": m[0].Value.Uint64() >> 20,
+		"collections": m[1].Value.Uint64(), "timer_late_ms_most": lag.Milliseconds()}).Info("status")
 }
 
 // probe sends one, and counts it as timed out if a connection's time passes.
--- a/cmd/quilldoor/serve_test.go
+++ b/cmd/quilldoor/serve_test.go
@@ -334,6 +334,21 @@
 	c.want(t, "503")
 }
 
+// A router stood still for fifteen seconds while its table of descriptors grew.
+func TestDescriptorTableIsGrownAtTheStart(t *testing.T) {
+	if err := reserve(900); err != nil {
+		t.Fatal(err)
+	}
+	status, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		t.Skip("no /proc here")
+	}
+	_, size, _ := strings.Cut(string(status), "FDSize:")
+	if n, _ := strconv.Atoi(strings.Fields(size)[0]); n < 900 {
+		t.Fatalf("room for %d descriptors", n)
+	}
+}
+
 // What was taken before and shortly after the signal is answered.
 func TestShutdownAnswersAll(t *testing.T) {
 	release := make(chan bool)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -208,6 +208,7 @@
 type Limits struct {
 	Memory int64 // bytes that the collector aims to stay under
 
+	Sockets   int // descriptors of the process
 	Clients   int // connections
 	Upstream  int
 	PerServer int // before hops share a connection
@@ -247,7 +248,7 @@
 		Memory: int64(memoryMB) << 20 * 5 / 8,
 		// Clients hold a third at most; the rest covers the listener, the notice board
 		// and connections that are being closed.
-		Clients: sockets * 2 / 5, Upstream: sockets * 2 / 5,
+		Sockets: sockets, Clients: sockets * 2 / 5, Upstream: sockets * 2 / 5,
 		PerServer: 64, Streams: max(s.Limits.StreamsPerConn, 1),
 		Head: 16 << 10, Fields: 64, Upload: 48_000, Answer: 240_000, News: 4 << 20,
 		Held:        int64(memoryMB) << 20 * 3 / 8,
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -15,11 +15,9 @@
 
 // ---- The paper's sketch ----
 
-// sketchWidth counters in each of four rows: a halving period sees about a thousand objects at one router.
-const sketchWidth = 1 << 12
+const sketchWidth = 1 << 12 // counters in each of four rows: a halving period sees about a thousand objects
 
-// counterTop is where a counter stops rising (the design page's ten).
-const counterTop = 10
+const counterTop = 10 // where a counter stops rising (the design page's ten)
 
 type sketch struct {
 	rows   [4][sketchWidth / 16]uint64 // 4-bit counters, 16 to a word
@@ -222,6 +220,7 @@
 	s.late = nil
 	s.due = r.now + min(restFirst<<s.rests, restMost)
 	s.rests = min(s.rests+1, 8)
+	r.do(Action{Kind: ActLog, Text: "server rests: " + s.id})
 }
 
 // ask probes where that is allowed; else the next hop tells.
@@ -232,7 +231,10 @@
 }
 
 // back forgets what a server did before. Its list stays: clearing it moved nothing (simulated).
-func (r *Router) back(s *server) { s.rests, s.late = 0, nil }
+func (r *Router) back(s *server) {
+	s.rests, s.late = 0, nil
+	r.do(Action{Kind: ActLog, Text: "server is back: " + s.id})
+}
 
 // keepSamples bounds each list of samples: enough for a tail, few enough to forget in seconds.
 const keepSamples = 32
@@ -301,8 +303,6 @@
 	s.spent = append(s.spent, spend{r.now, work})
 }
 
-// ---- Overload ----
-
 // sla is the time within which the txn's answer earns all. Where sizes are not told, half the rule's SLA time
 // stands for the sending time: measured times would grow with the very jam that they should show.
 func (t *txn) sla() int64 {
@@ -389,8 +389,6 @@
 	return m.out >= most || most < 1 && r.chance() >= most
 }
 
-// ---- Txns ----
-
 type state uint8
 
 const (
@@ -636,8 +634,7 @@
 
 func (r *Router) do(a Action) { r.out = append(r.out, a) }
 
-// tickEvery is well under any SLA time, and cheap.
-const tickEvery = 25 * ms
+const tickEvery = 25 * ms // well under any SLA time, and cheap
 
 // tick keeps one timer running.
 func (r *Router) tick() {
