--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,150 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/config"
+	"quilldoor/internal/core"
+	"quilldoor/logic"
+)
+
+// stand is a pool beside a server that writes nothing by itself.
+type stand struct {
+	*Pool
+	net.Listener
+	ends chan string // codes of hops that ended
+}
+
+func newStand(t *testing.T, change func(*config.Limits)) *stand {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := &config.Limits{Upstream: 8, PerServer: 4, Streams: 2, Answer: 1000, Connect: 5 * time.Second,
+		Write: 5 * time.Second, Frame: 5 * time.Second}
+	if change != nil {
+		change(limits)
+	}
+	s := &stand{Listener: l, ends: make(chan string, 100)}
+	log := logrus.NewEntry(logrus.New())
+	log.Logger.SetLevel(logrus.ErrorLevel)
+	s.Pool = New(limits, buffer.NewPool(1<<20), func(_ *core.Hop, o core.Outcome) { s.ends <- o.Code }, log)
+	t.Cleanup(func() {
+		l.Close()
+		s.Close()
+	})
+	return s
+}
+
+func (s *stand) Close() { s.Pool.Close() }
+
+func (s *stand) flight(id string) *Flight {
+	server := &core.Server{Entry: logic.Entry{Server: "c"}, Endpoint: s.Addr().String()}
+	return &Flight{Class: "page", Object: "x", Hop: &core.Hop{Txn: &core.Txn{ID: id}, Server: server,
+		Due: time.Now().Add(time.Second).UnixMicro()}}
+}
+
+// got accepts a connection and reads its first line.
+func (s *stand) got(t *testing.T) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := s.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	r := bufio.NewReader(c)
+	if _, err := r.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	return c, r
+}
+
+// A machine that has vanished leaves its connections standing: each hop on one
+// ran out of time, where a new connection is refused at once.
+func TestSilentConnectionTakesNothingNew(t *testing.T) {
+	s := newStand(t, nil)
+	f := s.flight("a")
+	s.Send(f)
+	c, r := s.got(t)
+	f.Drop(true)
+	r.ReadString('\n') // the empty body's end
+	if _, err := r.ReadByte(); err == nil {
+		t.Fatal("the connection goes on")
+	}
+	c.Close()
+	if s.Count() != 0 {
+		t.Fatalf("%d connections", s.Count())
+	}
+}
+
+func TestDroppedHopLeavesItsConnectionToOthers(t *testing.T) {
+	s := newStand(t, nil)
+	f := s.flight("a")
+	s.Send(f)
+	c, r := s.got(t)
+	f.Drop(false)
+	r.ReadString('\n')
+	if line, _ := r.ReadString('\n'); line != "DROP a\r\n" {
+		t.Fatalf("%q", line)
+	}
+	// A late answer to it is no fault, and nobody's outcome.
+	s.Send(s.flight("b"))
+	r.ReadString('\n')
+	c.Write([]byte("a ACK - 2\r\nxx\r\nb NOENT - 0\r\n\r\n"))
+	if code := <-s.ends; code != "enoent" || s.Count() != 1 {
+		t.Fatalf("%s over %d connections", code, s.Count())
+	}
+	// The same txn's next hop must not share a connection with its last.
+	g := s.flight("c")
+	s.Send(g)
+	s.Send(s.flight("c"))
+	if s.got(t); s.Count() != 2 {
+		t.Fatalf("%d connections", s.Count())
+	}
+}
+
+func TestConnectionsAreBoundedAndShared(t *testing.T) {
+	s := newStand(t, func(l *config.Limits) { l.Upstream = 2 })
+	for _, id := range []string{"a", "b", "c", "d"} {
+		s.Send(s.flight(id))
+	}
+	if s.Count() != 2 {
+		t.Fatalf("%d connections", s.Count())
+	}
+	s.Send(s.flight("e")) // two hops on each: no room
+	if code := <-s.ends; code != "econnrefused" {
+		t.Fatal(code)
+	}
+}
+
+// A hop that waited for its connection was once sent to a server that drained.
+func TestRetiredServerGetsNoWaitingHop(t *testing.T) {
+	s := newStand(t, nil)
+	r := s.flight("a")
+	r.conn = &conn{pool: s.Pool, open: map[string]*Flight{"a": r}, cancel: func() {}}
+	p := &peer{id: "c", conns: []*conn{r.conn}}
+	r.conn.peer, s.peers["c"], s.total = p, p, 1 // a connection that doesn't stand yet
+	s.Retire([]string{"c"})
+	if code := <-s.ends; code != "skipped" || r.Hop.Begin() || s.Count() != 0 {
+		t.Fatalf("%s, %d connections", code, s.Count())
+	}
+}
+
+func TestBrokenConnectionEndsItsHops(t *testing.T) {
+	for _, text := range []string{"", "a HELLO - 0\r\n\r\n", "b ACK - 0\r\n\r\n", "a ACK - 9\r\n1234"} {
+		s := newStand(t, nil)
+		s.Send(s.flight("a"))
+		c, _ := s.got(t)
+		c.Write([]byte(text))
+		c.(*net.TCPConn).CloseWrite()
+		if code := <-s.ends; code != "econnreset" {
+			t.Errorf("%q: %s", text, code)
+		}
+	}
+}
