Clean up the sockets' side: one place for a dropped hop, errands, polls, field words

Giving a hop up stood in two places, one of them without the check for a hop that never came to the sockets; errands were added in three. A connection that shuts makes a new list of its server's connections, so that four walks need no copy of theirs. A parameter that nothing passed and a second way to end a poll's connection are gone.

--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -122,7 +122,7 @@
 			case core.Log:
 				r.log.Info(o.Text)
 			case core.Drop:
-				o.Hop.Carrier.Drop(o.Silent)
+				o.Hop.Drop(o.Silent)
 			}
 		}
 		if now := time.Now(); now.Sub(swept) >= sweepEvery {
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -17,6 +17,8 @@
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
 	"quilldoor/internal/http1"
+	"quilldoor/internal/lines"
+	"quilldoor/internal/settings"
 	"quilldoor/logic"
 )
 
@@ -70,7 +72,7 @@
 			continue
 		}
 		for _, t := range e.Pool.Targets {
-			if !config.Word(t.UID) || states[t.State] == "" {
+			if !lines.Plain(t.UID) || states[t.State] == "" {
 				return nil, fmt.Errorf("notice %d: target %.40q in state %.20q", e.Rev, t.UID, t.State)
 			}
 		}
@@ -84,7 +86,8 @@
 	limits *config.Limits
 	sink   Sink
 	rev    int64
-	whole  bool // a whole list has come
+	whole  bool  // a whole list has come
+	conn   *conn // nil: none stands
 }
 
 // New makes a follower of the board at an address.
@@ -112,7 +115,7 @@
 			for _, t := range e.Pool.Targets {
 				list = append(list, core.Server{Endpoint: t.Endpoint, Entry: logic.Entry{
 					Server: t.UID, Zone: t.AZ, Kind: t.Model, Cell: t.PodGroup, State: states[t.State],
-					Weight: t.CapacityHint, Born: int64(t.BootMS * 1000)}})
+					Weight: t.CapacityHint, Born: settings.Micros(t.BootMS)}})
 			}
 			f.sink.Members(scope, list)
 		}
@@ -132,29 +135,15 @@
 
 // Run polls until the context ends. After a failure the last list stays.
 func (f *Follower) Run(ctx context.Context) {
-	var c *conn
 	wait, lost := time.Duration(0), false
 	for ctx.Err() == nil {
-		var err error
-		if c == nil {
-			c, err = f.dial(ctx)
-		}
-		var news *News
-		if err == nil {
-			news, err = f.poll(c)
-		}
+		news, err := f.fetch(ctx)
 		if err == nil {
 			if lost {
 				f.sink.BoardBack()
 			}
 			f.Apply(news)
 			wait, lost = 0, false
-		}
-		if c != nil && (err != nil || c.last) {
-			c.stop()
-			c = nil
-		}
-		if err == nil {
 			continue
 		}
 		if ctx.Err() != nil {
@@ -170,9 +159,24 @@
 		case <-time.After(wait):
 		}
 	}
-	if c != nil {
-		c.stop()
+}
+
+// fetch brings the next news over the connection that stands, or a new one. One
+// that failed, or that the board ends, is not kept.
+func (f *Follower) fetch(ctx context.Context) (news *News, err error) {
+	c := f.conn
+	if c == nil {
+		if c, err = f.dial(ctx); err != nil {
+			return nil, err
+		}
 	}
+	news, err = f.poll(c)
+	if f.conn = c; err != nil || c.last {
+		c.unget()
+		c.Close()
+		f.conn = nil
+	}
+	return news, err
 }
 
 type conn struct {
@@ -182,11 +186,6 @@
 	last  bool        // the board ends it behind its answer
 }
 
-func (c *conn) stop() {
-	c.unget()
-	c.Close()
-}
-
 func (f *Follower) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{Timeout: f.limits.PollSlack}
 	sock, err := d.DialContext(ctx, "tcp", f.addr)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"quilldoor/internal/lines"
 	"quilldoor/internal/settings"
 )
 
@@ -178,7 +179,7 @@
 	for i, k := range s.Classes {
 		key := fmt.Sprintf("settings.Classes[%d].", i)
 		switch {
-		case k.Name == "" || !Word(k.Name):
+		case k.Name == "" || !lines.Plain(k.Name):
 			return fault{key + "Name", "not a plain word"}
 		case k.Effect != "safe" && k.Effect != "keyed" && k.Effect != "unsafe":
 			return fault{key + "Effect", fmt.Sprintf("%q is none of safe, keyed, unsafe", k.Effect)}
@@ -193,17 +194,6 @@
 	return nil
 }
 
-// Word tells whether text can stand as a value in a cache server's fields.
-func Word(text string) bool {
-	for _, c := range []byte(text) {
-		letter := c|0x20 >= 'a' && c|0x20 <= 'z' || c >= '0' && c <= '9'
-		if !letter && strings.IndexByte("-_.~:@!$*/", c) < 0 {
-			return false
-		}
-	}
-	return text != ""
-}
-
 // Limits are the sizes, counts and times that the sockets' side keeps to.
 type Limits struct {
 	Memory int64 // bytes that the collector aims to stay under
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -288,17 +288,21 @@
 			if a.Kind == logic.ActDisconnect {
 				kind = Disconnect
 			}
-			c.errands = append(c.errands, Order{Kind: kind, Server: s})
-			c.kick()
+			c.errand(Order{Kind: kind, Server: s})
 		}
 	case logic.ActLog:
-		c.errands = append(c.errands, Order{Kind: Log, Text: a.Text})
-		c.kick()
+		c.errand(Order{Kind: Log, Text: a.Text})
 	}
 	// The notice board is followed unasked, so there is nothing to subscribe to
 	// or to fetch; messages between routers have no form on sockets.
 }
 
+// errand leaves an order to who calls Run.
+func (c *Core) errand(o Order) {
+	c.errands = append(c.errands, o)
+	c.kick()
+}
+
 // send makes a hop. One that can't go out ends at once, proven not to have run.
 func (c *Core) send(now int64, t *Txn, a logic.Action) {
 	h := &Hop{Txn: t, N: len(t.hops), Rank: a.Rank, Age: a.Age, Mode: a.Mode, Due: t.deadline, sent: now}
--- a/internal/core/txn.go
+++ b/internal/core/txn.go
@@ -46,8 +46,7 @@
 		t.wake()
 		return
 	}
-	t.core.errands = append(t.core.errands, o)
-	t.core.kick()
+	t.core.errand(o)
 }
 
 // Take empties the mailbox.
@@ -93,6 +92,13 @@
 	withdrawn               // it will not be written
 )
 
+// Drop gives the hop up on the sockets, if it came there.
+func (h *Hop) Drop(silent bool) {
+	if h.Carrier != nil {
+		h.Carrier.Drop(silent)
+	}
+}
+
 // Begin claims the hop for being written; false: it was withdrawn.
 func (h *Hop) Begin() bool { return h.state.CompareAndSwap(waiting, begun) }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -187,18 +187,18 @@
 		defer body.Release()
 	}
 	last := h.Close || f.draining.Load()
+	var t *ask
+	status := 503
 	switch {
 	case h.Target == "/health" && h.Method == "GET":
-		status := 503
 		if f.ready.Load() {
 			status = 200
 		}
-		return f.plain(c, status, last) && !last
-	case err == buffer.ErrFull:
-		return f.plain(c, 503, last) && !last // it never ran
+	case err == buffer.ErrFull: // it never ran
+	default:
+		t, status = f.parse(h)
 	}
-	t, status := f.parse(h)
-	if status != 0 {
+	if t == nil {
 		return f.plain(c, status, last) && !last
 	}
 	t.body, t.first = body, first
@@ -218,8 +218,8 @@
 }
 
 // plain answers without a body.
-func (f *Front) plain(c *client, status int, last bool, fields ...http1.Field) bool {
-	return f.write(c, time.Now().Add(f.limits.LongestTxn), http1.AppendResponse(nil, status, 0, last, fields...)) == nil
+func (f *Front) plain(c *client, status int, last bool) bool {
+	return f.write(c, time.Now().Add(f.limits.LongestTxn), http1.AppendResponse(nil, status, 0, last)) == nil
 }
 
 func (f *Front) write(c *client, until time.Time, bufs ...[]byte) error {
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"quilldoor/internal/buffer"
-	"quilldoor/internal/config"
 	"quilldoor/internal/core"
 	"quilldoor/internal/http1"
+	"quilldoor/internal/lines"
 	"quilldoor/internal/upstream"
 	"quilldoor/logic"
 )
@@ -40,7 +40,7 @@
 		return nil, 405
 	}
 	a := &ask{event: logic.Event{Rule: rule.Name, Object: part[1], Write: rule.Write}}
-	ok := config.Word(part[1])
+	ok := lines.Plain(part[1])
 	if len(part) == 3 {
 		n, named := strings.CutPrefix(part[2], "n-")
 		ok = number(n, 1<<31, &a.event.Part) && named && ok
@@ -60,7 +60,7 @@
 	}
 	if tag, told := h.Get("if-none-match"); told {
 		a.tag = strings.Trim(strings.TrimPrefix(tag, "W/"), `"`)
-		if !config.Word(a.tag) {
+		if !lines.Plain(a.tag) {
 			a.tag = "" // a list, or any copy at all: nothing that could be passed on
 		}
 	}
@@ -139,8 +139,8 @@
 
 // leave does what is left to do of an order that nobody waits for.
 func (f *Front) leave(o core.Order) {
-	if o.Kind == core.Drop && o.Hop.Carrier != nil {
-		o.Hop.Carrier.Drop(o.Silent)
+	if o.Kind == core.Drop {
+		o.Hop.Drop(o.Silent)
 	}
 	if o.Reply != nil {
 		o.Reply.Release()
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -24,6 +24,17 @@
 	Length            int
 }
 
+// Plain tells whether text can stand as a value among the fields.
+func Plain(text string) bool {
+	for _, c := range []byte(text) {
+		letter := c|0x20 >= 'a' && c|0x20 <= 'z' || c >= '0' && c <= '9'
+		if !letter && strings.IndexByte("-_.~:@!$*/", c) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // modeWords stand in the order of the mode's bits.
 var modeWords = []string{"wait-for", "no-fetch", "no-keep", "background"}
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,6 +14,7 @@
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/core"
 	"quilldoor/internal/lines"
+	"quilldoor/internal/settings"
 )
 
 // item is one thing to write.
@@ -71,12 +73,8 @@
 	}
 	c.dead = true
 	c.pool.total--
-	for i, other := range c.peer.conns {
-		if other == c {
-			c.peer.conns = append(c.peer.conns[:i], c.peer.conns[i+1:]...)
-			break
-		}
-	}
+	// A new list, since the old one may be walked by who shuts its connections.
+	c.peer.conns = slices.DeleteFunc(slices.Clone(c.peer.conns), func(other *conn) bool { return other == c })
 	c.cancel()
 	if c.sock != nil {
 		c.sock.Close()
@@ -247,7 +245,7 @@
 		body.Release()
 		return nil
 	}
-	o := core.Outcome{Code: codes[a.Word], Note: a.Note, Waited: int64(a.Delay * 1000), Load: a.Load}
+	o := core.Outcome{Code: codes[a.Word], Note: a.Note, Waited: settings.Micros(a.Delay), Load: a.Load}
 	switch {
 	case full != nil:
 		o.Code = "err"
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -212,7 +212,7 @@
 
 func (p *Pool) retire(r *peer) (unsent []*Flight) {
 	delete(p.peers, r.id)
-	for _, c := range append([]*conn(nil), r.conns...) {
+	for _, c := range r.conns {
 		for id, f := range c.open {
 			if f.Hop.Withdraw() {
 				delete(c.open, id)
@@ -230,7 +230,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r := p.peers[s.Server]; r != nil {
-		for _, c := range append([]*conn(nil), r.conns...) {
+		for _, c := range r.conns {
 			if c.idle() {
 				c.shut()
 			}
@@ -244,7 +244,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.peers {
-		for _, c := range append([]*conn(nil), r.conns...) {
+		for _, c := range r.conns {
 			for id, at := range c.dropped {
 				if now.Sub(at) > p.limits.Remember {
 					delete(c.dropped, id)
@@ -263,7 +263,7 @@
 	defer p.mu.Unlock()
 	p.stop = true
 	for _, r := range p.peers {
-		for _, c := range append([]*conn(nil), r.conns...) {
+		for _, c := range r.conns {
 			c.shut()
 		}
 	}
