Retire connections by server and address, so that a changed address loses no outcome

Found by reading: where a server was listed at another address, the pool retired the old connections while it sent, and threw away which hops it had withdrawn; those had no outcome until their time was over. The core, which knows the old line, names it among the retired now, and connections are kept by id and address together; the special case in the pool is gone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -149,8 +149,9 @@
 }
 
 // Members takes changes of the list ("diff") or a whole one ("disk" at the
-// start, else "snapshot") and returns the servers that take nothing new now.
-func (c *Core) Members(now int64, scope string, list []Server) (retired []string) {
+// start, else "snapshot") and returns the servers, as they were listed, that
+// take nothing new at their addresses now.
+func (c *Core) Members(now int64, scope string, list []Server) (retired []*Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := logic.Event{Kind: logic.EvDiscovery, Scope: scope}
@@ -158,18 +159,18 @@
 	for _, s := range list {
 		named[s.Server] = true
 		e.Entries = append(e.Entries, s.Entry)
-		if !s.Listed() {
-			retired = append(retired, s.Server)
+		if old := c.servers[s.Server]; old != nil && (!s.Listed() || old.Endpoint != s.Endpoint) {
+			retired = append(retired, old)
 		}
 		c.servers[s.Server] = &s
 		if s.State == "left" {
 			delete(c.servers, s.Server)
 		}
 	}
-	for id := range c.servers {
+	for id, old := range c.servers {
 		if scope != "diff" && !named[id] {
 			delete(c.servers, id)
-			retired = append(retired, id)
+			retired = append(retired, old)
 		}
 	}
 	c.handle(now, e)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -154,6 +154,19 @@
 	}
 }
 
+// Hops that waited for a connection to a server's old address once had no
+// outcome until their time was over.
+func TestChangedAddressRetiresTheOldOne(t *testing.T) {
+	w := newWorld(nil)
+	moved := Server{Entry: w.servers["a"].Entry, Endpoint: "a:2"}
+	if gone := w.Members(start, "diff", []Server{moved}); len(gone) != 1 || gone[0].Endpoint != "a:1" {
+		t.Fatalf("retired %v", gone)
+	}
+	if gone := w.Members(start, "diff", []Server{moved}); len(gone) != 0 {
+		t.Fatalf("retired %v though nothing changed", gone)
+	}
+}
+
 func TestOpenIsBounded(t *testing.T) {
 	w := newWorld(func(s *logic.Settings) { s.Limits.MaxOpen = 2 })
 	w.ask(t, "read")
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -44,33 +44,34 @@
 	log    *logrus.Entry
 
 	mu    sync.Mutex // for the books below and those of every conn; never held over I/O
-	peers map[string]*peer
+	peers map[place]*peer
 	total int
 	stop  bool
 }
 
+// place is a server's id and its address: connections to the one lead nowhere
+// else, whichever of the two changes.
+type place struct{ id, endpoint string }
+
+func placeOf(s *core.Server) place { return place{s.Server, s.Endpoint} }
+
 // peer is one server at one address.
 type peer struct {
-	id, endpoint string
-	conns        []*conn
+	place
+	conns []*conn
 }
 
 // New makes an empty pool.
 func New(limits *config.Limits, bodies *buffer.Pool, ended Ended, log *logrus.Entry) *Pool {
-	return &Pool{limits: limits, bodies: bodies, ended: ended, log: log, peers: map[string]*peer{}}
+	return &Pool{limits: limits, bodies: bodies, ended: ended, log: log, peers: map[place]*peer{}}
 }
 
 func (p *Pool) peer(s *core.Server) *peer {
-	r := p.peers[s.Server]
-	if r != nil && r.endpoint != s.Endpoint {
-		p.retire(r) // listed at another address: those connections lead elsewhere
-		r = nil
-	}
-	if r == nil {
-		r = &peer{id: s.Server, endpoint: s.Endpoint}
-		p.peers[s.Server] = r
+	at := placeOf(s)
+	if p.peers[at] == nil {
+		p.peers[at] = &peer{place: at}
 	}
-	return r
+	return p.peers[at]
 }
 
 // Send puts a hop on a connection. Its outcome, whatever becomes of it, goes to
@@ -179,7 +180,7 @@
 func (p *Pool) Unprobe(s *core.Server, tag string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.peers[s.Server]
+	r := p.peers[placeOf(s)]
 	if r == nil {
 		return false
 	}
@@ -196,12 +197,24 @@
 
 // Retire lets connections to servers that take nothing new end with their hops.
 // A hop that is not on a connection yet is proven not to have run.
-func (p *Pool) Retire(ids []string) {
+func (p *Pool) Retire(servers []*core.Server) {
 	var unsent []*Flight
 	p.mu.Lock()
-	for _, id := range ids {
-		if r := p.peers[id]; r != nil {
-			unsent = append(unsent, p.retire(r)...)
+	for _, s := range servers {
+		r := p.peers[placeOf(s)]
+		if r == nil {
+			continue
+		}
+		delete(p.peers, r.place)
+		for _, c := range r.conns {
+			for id, f := range c.open {
+				if f.Hop.Withdraw() {
+					delete(c.open, id)
+					unsent = append(unsent, f)
+				}
+			}
+			c.closing = true
+			c.rest()
 		}
 	}
 	p.mu.Unlock()
@@ -210,26 +223,11 @@
 	}
 }
 
-func (p *Pool) retire(r *peer) (unsent []*Flight) {
-	delete(p.peers, r.id)
-	for _, c := range r.conns {
-		for id, f := range c.open {
-			if f.Hop.Withdraw() {
-				delete(c.open, id)
-				unsent = append(unsent, f)
-			}
-		}
-		c.closing = true
-		c.rest()
-	}
-	return unsent
-}
-
 // Disconnect closes idle connections to a server.
 func (p *Pool) Disconnect(s *core.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if r := p.peers[s.Server]; r != nil {
+	if r := p.peers[placeOf(s)]; r != nil {
 		for _, c := range r.conns {
 			if c.idle() {
 				c.shut()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -128,9 +128,9 @@
 	s := newStand(t, nil)
 	r := s.flight("a")
 	r.conn = &conn{pool: s.Pool, open: map[string]*Flight{"a": r}, cancel: func() {}}
-	p := &peer{id: "c", conns: []*conn{r.conn}}
-	r.conn.peer, s.peers["c"], s.total = p, p, 1 // a connection that doesn't stand yet
-	s.Retire([]string{"c"})
+	p := &peer{place: placeOf(r.Hop.Server), conns: []*conn{r.conn}}
+	r.conn.peer, s.peers[p.place], s.total = p, p, 1 // a connection that doesn't stand yet
+	s.Retire([]*core.Server{r.Hop.Server})
 	if code := <-s.ends; code != "skipped" || r.Hop.Begin() || s.Count() != 0 {
 		t.Fatalf("%s, %d connections", code, s.Count())
 	}
