Reload on SIGHUP; size buffers, connections and bodies by memory, from 24 MB

At fault: the least of limits.memory_mb in internal/config, and cmd/quilldoor, which knew SIGTERM alone. Buffers are 8 kB (16), connections and bodies bounded by memory. SIGHUP is caught before anything else; the file is loaded and checked as at the start; the follower ends, takes what is new of the file's known, and goes on at the new address.

--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -29,7 +29,10 @@
 `
 
 func main() {
-	err := run(os.Args[1:])
+	// A SIGHUP that comes before the router can reload must not end it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	err := run(os.Args[1:], hup)
 	if errors.Is(err, pflag.ErrHelp) {
 		return
 	}
@@ -39,7 +42,7 @@
 	}
 }
 
-func run(args []string) error {
+func run(args []string, hup <-chan os.Signal) error {
 	var over config.Overrides
 	flags := pflag.NewFlagSet("quilldoor", pflag.ContinueOnError)
 	flags.StringVarP(&over.File, "config", "c", "", "configuration file (LB_CONFIG)")
@@ -69,16 +72,11 @@
 	default:
 		return fmt.Errorf("%s: no such command", command)
 	}
-	c, err := config.Load(over, os.Getenv)
+	load := func() (*config.Config, *board.News, error) { return load(over) }
+	c, known, err := load()
 	if err != nil {
 		return err
 	}
-	known := &board.News{}
-	if c.Known != nil {
-		if known, err = board.Parse(c.Known); err != nil {
-			return fmt.Errorf("known: %w", err)
-		}
-	}
 	if command == "check" {
 		fmt.Println("configuration of", c.Name, "is good")
 		return nil
@@ -92,7 +90,22 @@
 		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
-	return serve(c, known, log, term)
+	return serve(c, known, log, term, hup, load)
+}
+
+// load reads and checks the configuration, for the start and for a reload.
+func load(over config.Overrides) (*config.Config, *board.News, error) {
+	c, err := config.Load(over, os.Getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	known := &board.News{}
+	if c.Known != nil {
+		if known, err = board.Parse(c.Known); err != nil {
+			return nil, nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, known, nil
 }
 
 // version is that of the module, with the commit where the build knows it.
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -34,8 +34,10 @@
 
 func clock() int64 { return time.Now().UnixMicro() }
 
-// serve runs the router until a signal comes on term.
-func serve(c *config.Config, known *board.News, logger *logrus.Logger, term <-chan os.Signal) error {
+// serve runs the router until a signal comes on term. Those on hup make it load
+// the configuration again.
+func serve(c *config.Config, known *board.News, logger *logrus.Logger, term, hup <-chan os.Signal,
+	load func() (*config.Config, *board.News, error)) error {
 	runtime.GOMAXPROCS(max(int(c.Cores), 1))
 	debug.SetMemoryLimit(c.Limits.Memory)
 	set := c.Settings.Logic()
@@ -63,18 +65,34 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 
-	follower := board.New(c.Board, c.Limits, r)
+	follower := board.New(c.Limits, r)
 	follower.Apply(known)
-	go follower.Run(ctx)
+	unfollow := follow(ctx, follower, c.Board)
 	go r.attend(ctx)
 	served := make(chan error, 1)
 	go func() { served <- r.front.Serve(l) }()
 
-	select {
-	case err := <-served:
-		return fmt.Errorf("listen: %w", err)
-	case s := <-term:
-		r.log.WithField("signal", s.String()).Info("shutting down, still accepting")
+	for open := true; open; {
+		select {
+		case err := <-served:
+			return fmt.Errorf("listen: %w", err)
+		case s := <-term:
+			r.log.WithField("signal", s.String()).Info("shutting down, still accepting")
+			open = false
+		case <-hup:
+			fresh, news, err := load()
+			if err != nil {
+				r.log.WithError(err).Error("new configuration refused, the old one stays")
+				continue
+			}
+			for _, key := range c.Fixed(fresh) {
+				r.log.WithField("key", key).Warn("new configuration: takes a restart, the old value stays")
+			}
+			unfollow()
+			follower.Apply(&board.News{Notices: news.Notices})
+			unfollow = follow(ctx, follower, fresh.Board)
+			r.log.WithField("board", fresh.Board).Info("new configuration in force")
+		}
 	}
 	// What is under way towards the listener when the signal comes is still taken.
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(c.Limits.AcceptOn))
@@ -88,6 +106,21 @@
 	return nil
 }
 
+// follow runs the follower at an address until the function it returns is called,
+// which waits for its end: two never run at once, and no event is applied twice.
+func follow(ctx context.Context, f *board.Follower, addr string) (end func()) {
+	ctx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx, addr)
+	}()
+	return func() {
+		stop()
+		<-done
+	}
+}
+
 // reserve grows the table of descriptors to its bound while nothing waits for
 // it. The kernel waits for all cores when it grows the table of a process with
 // threads, on busy ones for seconds, and a socket that needs the new place holds
--- a/cmd/quilldoor/serve_test.go
+++ b/cmd/quilldoor/serve_test.go
@@ -79,19 +79,36 @@
 	return fmt.Sprintf("%s ACK entity=e1,detail=HIT %d\r\n%s\r\n", id, len(body), body)
 }
 
-// startRouter starts one with a cache and an origin, and gives its address, the
-// channel for its signal and that of its end.
-func startRouter(t *testing.T, cache, origin string) (addr string, term chan os.Signal, end chan error) {
+// running is a router under test.
+type running struct {
+	addr, path, text string // of its configuration, board at 127.0.0.1:1
+	term, hup        chan os.Signal
+	end              chan error
+	log              chan string // messages from info up
+}
+
+func (r *running) Levels() []logrus.Level { return logrus.AllLevels[:logrus.InfoLevel+1] }
+func (r *running) Fire(e *logrus.Entry) error {
+	text, err := e.String()
+	select {
+	case r.log <- text:
+	default: // no test reads so many
+	}
+	return err
+}
+
+// startRouter starts one with a cache and an origin.
+func startRouter(t *testing.T, cache, origin string) *running {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr = free.Addr().String()
+	r := &running{addr: free.Addr().String(), path: filepath.Join(t.TempDir(), "config.json"),
+		term: make(chan os.Signal, 1), hup: make(chan os.Signal, 1), end: make(chan error, 1), log: make(chan string, 1000)}
 	free.Close()
-	path := filepath.Join(t.TempDir(), "config.json")
 	target := `{"uid":"%s","endpoint":"%s","az":"z","model":"%s","state":"ready","capacity_hint":50}`
-	text := `{"name":"t","listen":"` + addr + `","seed":"1","board":"127.0.0.1:1","known":{"rev":1,"notices":[
+	r.text = `{"name":"t","listen":"` + r.addr + `","seed":"1","board":"127.0.0.1:1","known":{"rev":1,"notices":[
 	 {"rev":1,"pool":{"all":true,"targets":[` + fmt.Sprintf(target, "c", cache, "box") + "," +
 		fmt.Sprintf(target, "o", origin, "origin") + `]}}]},
 	 "settings":{"Zone":"z","Zones":["z"],"Kinds":["box","origin"],"Siblings":1,
@@ -99,37 +116,57 @@
 	  "Limits":{"MostTries":6,"Cancel":true,"SecondCopies":true,"RetryAfter":true,"MaxRetryAfterMs":500,"StreamsPerConn":32},
 	  "Classes":[{"Name":"page","Effect":"safe","TargetMs":500,"GiveUpMs":2000,"Value":1},
 	   {"Name":"sign","Effect":"unsafe","TargetMs":500,"GiveUpMs":2000,"Value":1}]}}`
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c, err := config.Load(config.Overrides{File: path}, func(string) string { return "" })
+	r.configure(t, r.text)
+	over := config.Overrides{File: r.path}
+	c, known, err := load(over)
 	if err != nil {
 		t.Fatal(err)
 	}
 	c.Limits.AcceptOn, c.Limits.ServeOn = 300*time.Millisecond, 50*time.Millisecond
-	known, err := board.Parse(c.Known)
-	if err != nil {
-		t.Fatal(err)
-	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	term, end = make(chan os.Signal, 1), make(chan error, 1)
-	go func() { end <- serve(c, known, log, term) }()
+	log.AddHook(r)
+	go func() {
+		r.end <- serve(c, known, log, r.term, r.hup, func() (*config.Config, *board.News, error) { return load(over) })
+	}()
 	t.Cleanup(func() {
-		term <- syscall.SIGTERM
-		if err := <-end; err != nil {
+		r.term <- syscall.SIGTERM
+		if err := <-r.end; err != nil {
 			t.Error(err)
 		}
 	})
 	for range 1000 {
-		if c, err := net.Dial("tcp", addr); err == nil {
+		if c, err := net.Dial("tcp", r.addr); err == nil {
 			c.Close()
-			return addr, term, end
+			return r
 		}
 		time.Sleep(time.Millisecond)
 	}
 	t.Fatal("the router doesn't listen")
-	return
+	return nil
+}
+
+func (r *running) configure(t *testing.T, text string) {
+	t.Helper()
+	if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// logged waits for a line of the log with the text.
+func (r *running) logged(t *testing.T, text string) {
+	t.Helper()
+	over := time.After(10 * time.Second)
+	for {
+		select {
+		case line := <-r.log:
+			if strings.Contains(line, text) {
+				return
+			}
+		case <-over:
+			t.Fatalf("nothing logged with %q", text)
+		}
+	}
 }
 
 type client struct {
@@ -198,7 +235,7 @@
 		}
 		return ack(id, long)
 	})
-	addr, _, _ := startRouter(t, cache.Addr().String(), origin.Addr().String())
+	addr := startRouter(t, cache.Addr().String(), origin.Addr().String()).addr
 	c := dial(t, addr)
 	io.WriteString(c, "GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
 	c.want(t, "200")
@@ -226,7 +263,7 @@
 
 func TestBadRequestsAreAnswered(t *testing.T) {
 	none := newStandIn(t, func(string, string, string) string { return "" })
-	addr, _, _ := startRouter(t, none.Addr().String(), none.Addr().String())
+	addr := startRouter(t, none.Addr().String(), none.Addr().String()).addr
 	c := dial(t, addr)
 	for target, status := range map[string]string{"/rpc/none/x": "404", "/other": "404", "/rpc/page/a,b": "400",
 		"/rpc/page/a/n--1": "400", "/rpc/page/a/3": "400", "/rpc/sign/x": "405"} {
@@ -257,7 +294,7 @@
 // A wait for a hop once didn't see that its client had gone.
 func TestLeavingClientGivesItsHopUp(t *testing.T) {
 	silent := newStandIn(t, func(string, string, string) string { return "" })
-	addr, _, _ := startRouter(t, silent.Addr().String(), silent.Addr().String())
+	addr := startRouter(t, silent.Addr().String(), silent.Addr().String()).addr
 	c := dial(t, addr)
 	c.send("GET", "/rpc/page/x", "", "")
 	id := strings.Fields(<-silent.got)[1]
@@ -274,7 +311,7 @@
 		}
 		return ack(id, "quick")
 	})
-	addr, _, _ := startRouter(t, cache.Addr().String(), cache.Addr().String())
+	addr := startRouter(t, cache.Addr().String(), cache.Addr().String()).addr
 	slow, quick := dial(t, addr), dial(t, addr)
 	slow.send("GET", "/rpc/page/slow", "", "")
 	<-cache.got
@@ -298,7 +335,7 @@
 			}
 			return ack(id, "whole")
 		})
-		addr, _, _ := startRouter(t, server.Addr().String(), server.Addr().String())
+		addr := startRouter(t, server.Addr().String(), server.Addr().String()).addr
 		c := dial(t, addr)
 		c.send("GET", "/rpc/page/x", "", "")
 		if _, body := c.want(t, "200"); body != "whole" {
@@ -312,7 +349,7 @@
 func TestUnrepeatableTxns(t *testing.T) {
 	for answer, want := range map[string]string{"%s EIO - 0\r\n\r\n": "504", "CLOSE": "504", "%s AGAIN - 0\r\n\r\n": "503"} {
 		origin := newStandIn(t, func(id, _, _ string) string { return strings.Replace(answer, "%s", id, 1) })
-		addr, _, _ := startRouter(t, origin.Addr().String(), origin.Addr().String())
+		addr := startRouter(t, origin.Addr().String(), origin.Addr().String()).addr
 		c := dial(t, addr)
 		c.send("PUT", "/rpc/sign/x", "", "name")
 		head, _ := c.want(t, want)
@@ -328,7 +365,7 @@
 func TestRefusedConnectionsAreProof(t *testing.T) {
 	gone := newStandIn(t, nil)
 	gone.Close()
-	addr, _, _ := startRouter(t, gone.Addr().String(), gone.Addr().String())
+	addr := startRouter(t, gone.Addr().String(), gone.Addr().String()).addr
 	c := dial(t, addr)
 	c.send("PUT", "/rpc/sign/x", "", "name")
 	c.want(t, "503")
@@ -358,7 +395,8 @@
 		}
 		return ack(id, "there")
 	})
-	addr, term, end := startRouter(t, cache.Addr().String(), cache.Addr().String())
+	r := startRouter(t, cache.Addr().String(), cache.Addr().String())
+	addr, term, end := r.addr, r.term, r.end
 	held := dial(t, addr)
 	held.send("GET", "/rpc/page/held", "", "")
 	<-cache.got
@@ -377,3 +415,50 @@
 	}
 	end <- nil
 }
+
+// SIGHUP once ended the router. A bad file changes nothing; a good one moves the
+// follower, which goes on behind the last event, and open txns don't notice.
+func TestReload(t *testing.T) {
+	release := make(chan bool)
+	cache := newStandIn(t, func(id, fields, _ string) string {
+		if strings.Contains(fields, "path=held,") {
+			<-release
+		}
+		return ack(id, "there")
+	})
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	r := startRouter(t, cache.Addr().String(), cache.Addr().String())
+	held := dial(t, r.addr)
+	held.send("GET", "/rpc/page/held", "", "")
+	<-cache.got
+	for _, bad := range []string{"{", strings.Replace(r.text, `"board":"127.0.0.1:1"`, `"board":"here"`, 1)} {
+		r.configure(t, bad)
+		r.hup <- syscall.SIGHUP
+		r.logged(t, "the old one stays")
+	}
+	// Its first event is known already; the second takes the cache away.
+	text := strings.Replace(r.text, "127.0.0.1:1\"", other.Addr().String()+"\"", 1)
+	text = strings.Replace(text, `}]}}]}`, `}]}},{"rev":2,"pool":{"targets":[{"uid":"c","state":"draining"}]}}]}`, 1)
+	r.configure(t, strings.Replace(text, `"seed":"1"`, `"seed":"2"`, 1))
+	r.hup <- syscall.SIGHUP
+	r.logged(t, "key=seed")
+	r.logged(t, "scope=diff")
+	for range 2 { // the second reload comes while the first one's poll is out
+		c, err := other.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		if !strings.HasPrefix(line, "GET /board/poll?watch=2&") {
+			t.Fatal(line)
+		}
+		r.hup <- syscall.SIGHUP
+	}
+	close(release)
+	held.want(t, "200")
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -82,17 +82,17 @@
 
 // Follower knows how far the board was followed.
 type Follower struct {
-	addr   string
 	limits *config.Limits
 	sink   Sink
 	rev    int64
-	whole  bool  // a whole list has come
+	whole  bool // a whole list has come
+	addr   string
 	conn   *conn // nil: none stands
 }
 
-// New makes a follower of the board at an address.
-func New(addr string, limits *config.Limits, sink Sink) *Follower {
-	return &Follower{addr: addr, limits: limits, sink: sink}
+// New makes a follower that knows nothing yet.
+func New(limits *config.Limits, sink Sink) *Follower {
+	return &Follower{limits: limits, sink: sink}
 }
 
 // Apply hands on what is new in n.
@@ -133,8 +133,16 @@
 	f.rev = max(f.rev, n.Rev)
 }
 
-// Run polls until the context ends. After a failure the last list stays.
-func (f *Follower) Run(ctx context.Context) {
+// Run polls the board at an address until the context ends; run again at another,
+// it goes on behind the last event. After a failure the last list stays.
+func (f *Follower) Run(ctx context.Context, addr string) {
+	f.addr = addr
+	defer func() {
+		if f.conn != nil {
+			f.conn.Close()
+			f.conn = nil
+		}
+	}()
 	wait, lost := time.Duration(0), false
 	for ctx.Err() == nil {
 		news, err := f.fetch(ctx)
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -31,7 +31,7 @@
 
 func TestApply(t *testing.T) {
 	s := make(sink, 10)
-	f := New("", &config.Limits{}, s)
+	f := New(&config.Limits{}, s)
 	for _, text := range []string{
 		`{"rev":2,"notices":[{"rev":1,"pool":{"all":true,"targets":[{"uid":"a","endpoint":"1.1.1.1:1","state":"ready"}]}},
 		  {"rev":2,"flush":{"asset":"x","ms":5}}]}`,
@@ -101,8 +101,8 @@
 	s := make(sink, 10)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	f := New(l.Addr().String(), limits, s)
-	go f.Run(ctx)
+	f := New(limits, s)
+	go f.Run(ctx, l.Addr().String())
 	for _, want := range []string{"lost", "back", `purge "x" 0 5000`} {
 		if got := <-s; got != want {
 			t.Fatalf("%s, want %s", got, want)
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 )
 
-// Size of every buffer.
-const Size = 16 << 10
+// Size of every buffer: small, since each connection holds one.
+const Size = 8 << 10
 
 // ErrFull says that the bound on bytes held is reached. The body was read to
 // its end and thrown away, so its connection can go on.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -126,7 +127,7 @@
 		to         func(float64)
 	}{
 		{"limits.cores", f.Limits.Cores, 0.01, 1024, func(v float64) { c.Cores = v }},
-		{"limits.memory_mb", f.Limits.MemoryMB, 64, 1 << 20, func(v float64) { c.MemoryMB = int(v) }},
+		{"limits.memory_mb", f.Limits.MemoryMB, 24, 1 << 20, func(v float64) { c.MemoryMB = int(v) }},
 		{"limits.sockets", f.Limits.Sockets, 64, 1 << 20, func(v float64) { sockets = int(v) }},
 	} {
 		if n.from == nil {
@@ -144,6 +145,24 @@
 	return c, nil
 }
 
+// Fixed names the keys in which another configuration differs and which can't
+// change while the router runs: all but the board's address and what is known.
+func (c *Config) Fixed(other *Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == other.Name}, {"listen", c.Listen == other.Listen}, {"seed", c.Seed == other.Seed},
+		{"limits", c.Cores == other.Cores && c.MemoryMB == other.MemoryMB && c.Limits.Sockets == other.Limits.Sockets},
+		{"settings", reflect.DeepEqual(c.Settings, other.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // checkSettings refuses what the router can't work with, or what the protocol
 // on sockets has no form for.
 func checkSettings(s *settings.Setup) error {
@@ -233,21 +252,23 @@
 
 func newLimits(s *settings.Setup, memoryMB, sockets int) *Limits {
 	millis := func(v float64) time.Duration { return time.Duration(v * float64(ms)) }
+	memory := int64(memoryMB) << 20
 	l := &Limits{
 		// The rest is for stacks, sockets' structures and the collector's overshoot.
-		Memory: int64(memoryMB) << 20 * 5 / 8,
-		// Clients hold a third at most; the rest covers the listener, the notice board
-		// and connections that are being closed.
-		Sockets: sockets, Clients: sockets * 2 / 5, Upstream: sockets * 2 / 5,
+		Memory: memory * 5 / 8,
+		// The usual clients hold a third at most; the rest covers the listener, the
+		// notice board and connections that are being closed. A connection takes 16 kB
+		// to 20 kB: all of them fill three eighths of the memory at most, bodies half of that.
+		Sockets: sockets, Clients: min(sockets*2/5, int(memory>>16)), Upstream: min(sockets*2/5, int(memory>>17)),
 		PerServer: 64, Streams: max(s.Limits.StreamsPerConn, 1),
-		Head: 16 << 10, Fields: 64, Upload: 48_000, Answer: 240_000, News: 4 << 20,
-		Held:        int64(memoryMB) << 20 * 3 / 8,
+		Head: 16 << 10, Fields: 64, Upload: 48_000, Answer: 240_000, News: int(min(4<<20, memory/16)),
+		Held:        memory * 3 / 16,
 		RequestTime: 5 * time.Second, IdleClient: 30 * time.Second, ReplySlack: 50 * ms,
 		Connect: cmp.Or(millis(s.Limits.ConnectTimeoutMs), 400*ms),
 		// Servers close theirs at the full time; a hop must not cross that.
 		IdleUpstream: cmp.Or(millis(s.Limits.ConnIdleMs), 15*time.Second) * 4 / 5,
-		Write:        100 * ms, Linger: time.Second, PollSlack: time.Second,
-		RetryFirst: 20 * ms, RetryMost: time.Second,
+		Write:        100 * ms, Linger: time.Second, PollSlack: 500 * ms,
+		RetryFirst: 20 * ms, RetryMost: 250 * ms,
 		AcceptOn: 450 * ms, ServeOn: 250 * ms,
 	}
 	for _, k := range s.Classes {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"quilldoor/internal/buffer"
 )
 
 const good = `{"name":"n3","listen":"127.0.0.1:8080","seed":"8c1f30d27a5be964","board":"127.0.0.1:2379","unknown":1,
@@ -42,6 +44,22 @@
 	}
 }
 
+// A router with 48 MB once refused to start; what it may hold must follow.
+func TestLimitsFollowMemory(t *testing.T) {
+	for _, sockets := range []string{"256", "1024"} {
+		text := strings.Replace(strings.Replace(good, "192", "32", 1), "1024", sockets, 1)
+		c, err := load(t, text, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, whole := c.Limits, int64(32<<20)
+		held := l.Held + int64(l.News) + int64(l.Clients+l.Upstream)*(buffer.Size+8<<10)
+		if held > whole*5/8 || l.Memory > whole*3/4 || l.Clients < l.Sockets/3 {
+			t.Errorf("%s sockets: up to %d bytes held, %d clients", sockets, held, l.Clients)
+		}
+	}
+}
+
 func TestFaultsNameTheKey(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`"name":"n3",`, ``, "name: missing"},
@@ -51,6 +69,7 @@
 		{`8c1f30d27a5be964`, `xyz`, "seed: not"},
 		{`"seed":"8c1f30d27a5be964",`, ``, "seed: missing"},
 		{`"memory_mb":192`, `"memory_mb":-1`, "limits.memory_mb: -1 is not within"},
+		{`"memory_mb":192`, `"memory_mb":16`, "limits.memory_mb: 16 is not within"},
 		{`"memory_mb":192`, `"memory_mb":"x"`, "limits.memory_mb: string where a number"},
 		{`"sockets":1024`, `"sockets":3`, "limits.sockets: 3 is not within"},
 		{`"settings":{`, `"other":{`, "settings: missing"},
