Count no error without a reason against limits; forget servers that are gone

A trace of the module, twice a second, showed a quarter of all hops ending as EIO without a detail, at all caches alike, and limits falling from 21 to one or two; second hops ended because a quarter of fills had failed. 1,302 such errors against 16 that gave a reason. Ruled out: rests of servers (one a router), connections (connected to the last, 205 of 256 descriptors), lateness.

At fault: Router.answer, where err without a note counted as a late and as a failed fill. Where the settings say that reasons are told, it counts as neither now. Found by reading: servers and order kept all that were ever listed.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -86,9 +86,8 @@
 	clear(k.door[:])
 }
 
-// listCap bounds what a router remembers of one edge cache. Lists of 256 or 128 never filled or hardly, so
-// nothing was passed through; 32 kept too little. Divided by the root of the location's routers: whole lists
-// of ten hardly filled, a tenth refused what few txns can't tell apart (simulated).
+// listCap bounds what a router remembers of one edge cache: longer lists hardly filled, 32 kept too little.
+// It is divided by the root of the location's routers (simulated; see docs/design.md).
 const listCap = 64
 
 // admit is the design's rule: the rank at which a cache shall keep the object.
@@ -144,9 +143,8 @@
 	signNone               // tells nothing of the server
 )
 
-// healthTable judges by outcomes alone, whatever their cause. One bad sign may be chance (a full connection
-// table), two in a row or silence are not. It harms where a server fails two hops in a row and is well: it
-// rests for a while.
+// healthTable judges by outcomes alone, whatever their cause. One bad sign may be chance, two in a row or
+// silence are not. It harms where a server fails two hops in a row and is well: it rests for a while.
 var healthTable = []struct {
 	in   health
 	sign sign
@@ -192,7 +190,7 @@
 	cell         int
 	weight, size float64 // as listed; for the hash
 	born         int64   // 0: long past
-	listed       bool
+	listed, gone bool
 	out          int   // hops out
 	waiting      int64 // since when the longest silence with hops out runs
 	health       health
@@ -236,8 +234,7 @@
 	r.do(Action{Kind: ActLog, Text: "server is back: " + s.id})
 }
 
-// keepSamples bounds each list of samples: enough for a tail, few enough to forget in seconds.
-const keepSamples = 32
+const keepSamples = 32 // of a list: enough for a tail, few enough to forget in seconds
 
 func sample[T any](list []T, v T) []T {
 	if len(list) >= keepSamples {
@@ -258,10 +255,9 @@
 }
 
 // supplied notes whether a fill that named a source came in time. A parent is late when half of its last
-// fills were and twice the share of the best other source: misses behind a lost parent hang while hits go on,
-// and a slow origin makes all sources late alike. Where probes are allowed each late fill asks whether the
-// parent is there. It harms where one parent alone has the objects that are slow to make, or the origin is
-// idle but small; behind a slow origin probes are wasted.
+// fills were and twice the share of the best other source: a slow origin makes all sources late alike. Where
+// probes are allowed each late fill asks for the parent. It harms where one parent alone has the objects that
+// are slow to make, or the origin is idle but small; behind a slow origin probes are wasted.
 func (r *Router) supplied(s *server, timely bool) {
 	s.late = r.note(s.late, !timely)
 	if s.role != parent || timely {
@@ -278,8 +274,7 @@
 	}
 }
 
-// coldShare is the part of the fall-over budget that routers use: the rest covers hops of others who learn
-// late, and sizes above the mean. At 0.45 hunts came to 40% of a fall at most.
+// coldShare is the part of the fall-over budget in use: the rest covers who learns late, and large sizes.
 const coldShare = 0.75
 
 // affords tells whether a server can be sent work more: any once warm, else this router's share in a window.
@@ -328,9 +323,8 @@
 )
 
 // learn moves a limit: up by a quarter of the least a round of timely answers, down by 30% when a quarter of
-// the last were late or refused, then not again for a round. Steps of one and 15% settled where a quarter is
-// late all day. It harms where answers are late for a cause that fewer hops don't mend: so it leaves what keeps
-// an eighth of the cache's link busy. All is this router's part; of four samples one makes a quarter.
+// the last were late or refused, then not again for a round; all in this router's part. It harms where fewer
+// hops don't mend what is late: so it leaves what keeps an eighth of the cache's link busy.
 func (r *Router) learn(m *room, timely bool) {
 	const cut, round = 0.7, 200 * ms
 	least := max(2, m.size/8)
@@ -346,8 +340,8 @@
 	}
 }
 
-// window is how many of the last hops a share is taken of at least: enough that a quarter is no chance, few
-// enough to turn within a second. All of lately count: at hundreds a second sixteen in a round are, by chance.
+// window is how many of the last hops a share is taken of at least: enough that a quarter is no chance. All
+// of lately count: at hundreds a second a quarter of sixteen in a round is late by chance.
 const window, lately = 16, 250 * ms
 
 type end struct {
@@ -371,7 +365,7 @@
 	return late, all
 }
 
-// chance draws from [0, 1) by a permuted congruential generator (XSH-RR, 64 bits of state).
+// chance draws from [0, 1) by PCG (XSH-RR, 64 bits of state).
 func (r *Router) chance() float64 {
 	old := r.dice
 	r.dice = old*6364136223846793005 + 1442695040888963407
@@ -530,7 +524,7 @@
 	sketch         sketch
 	sampleN        int
 	servers        map[string]*server
-	order          []*server // every server of use here that was ever listed, by id
+	order          []*server // every server of use here, by id, until it is gone and its hops are over
 	origin         *server
 	rules          map[string]*rule
 	txns           map[string]*txn
@@ -553,7 +547,7 @@
 	purgeDone, stay                       int64
 	maxHops, listCap                      int
 	direct, joins, canProbe, cancel, pair bool
-	pull, live                            bool // discovery must be asked; weights change with load
+	pull, live, told                      bool // discovery is asked, weights follow load, answers give reasons
 }
 
 type purge struct {
@@ -570,7 +564,7 @@
 		dice: seed, zone: set.Zone, kinds: map[string]role{}, fallFor: c.FallFor, flow: f.FlowKBPerS / float64(sec),
 		purgeDone: f.PurgeDone, maxHops: max(l.MaxHops, 1), direct: f.Direct, joins: f.Joins,
 		canProbe: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, pull: set.Discovery == "ask",
-		live: set.WeightKind == "live",
+		live: set.WeightKind == "live", told: f.Tells == "all",
 	}
 	if l.RetryAfter {
 		r.stay = l.MaxRetryAfter
@@ -617,11 +611,7 @@
 	case EvAbandoned:
 		r.step(t, inFinal)
 	case EvHealth:
-		sign := signBad
-		if e.Code == "done" {
-			sign = signGood
-		}
-		r.judge(s, sign)
+		r.judge(s, map[bool]sign{true: signGood, false: signBad}[e.Code == "done"])
 	case EvPurge:
 		r.purges = append(r.purges, purge{e.Object, e.Group, now - e.Age})
 	case EvTimer:
@@ -656,7 +646,7 @@
 	}
 	if e.Scope != "diff" {
 		for _, s := range r.order {
-			s.listed = false
+			s.listed, s.gone = false, true
 		}
 	}
 	const start = 3 // above any use in calm: answers bring it down; twice and half of it cost (simulated)
@@ -680,7 +670,7 @@
 				r.beyond[i].limit = cmp.Or(r.beyond[i].limit, s.own[i].limit)
 			}
 		}
-		s.listed = n.State == "active"
+		s.listed, s.gone = n.State == "active", n.State == "left"
 		if n.Born > s.born {
 			s.born = n.Born
 			r.judge(s, signBorn)
@@ -736,8 +726,7 @@
 	return s.listed && s.health != down && !tried && r.affords(s, work)
 }
 
-// idle tells whether a cache has room for the txns of a jammed one: where one cache is short and others are
-// not, a second copy costs less than a rejection. In a jam of all it must not act: it would scatter copies.
+// idle tells whether a cache has room for txns of a jammed one. In a jam of all it must not scatter copies.
 func (r *Router) idle(s *server) bool {
 	late, all := r.lateOf(s.room[fills].late, window)
 	return window*late < max(all, 1) && 3*s.room[fills].out < s.room[fills].limit
@@ -815,7 +804,7 @@
 	}
 	// Where fills are late, hits need not be: a look takes what the cache holds, then a loan what the parent
 	// holds, without the origin behind it. Else it is given up, unless a fill has room by then.
-	const slack = 0.5 // a fuller link in is itself what makes fills late
+	const slack = 0.5 // a fuller link in makes fills late itself
 	mode, kind, grace := 0, fills, int64(0)
 	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
 		if next := r.pick(t, edge, work, r.idle); next != nil {
@@ -872,8 +861,8 @@
 		}
 		return
 	}
-	// A read that failed goes again only while few of the router's fills do: tries after failures feed a jam and
-	// cost a crowded origin the writes. It harms where one cache of few fails alone, until that one rests.
+	// A read goes again only while few fills fail: tries after failures feed a jam and cost a crowded origin the
+	// writes. It harms where one cache of few fails alone, until that one rests.
 	failed, all := r.lateOf(r.failed, window)
 	if 4*failed >= max(all, window) && t.hops[len(t.hops)-1].kind == fills {
 		r.giveUp(t)
@@ -948,10 +937,13 @@
 	if e.Code == "done" && t.work == 0 && !t.rule.write {
 		t.rule.works = sample(t.rule.works, e.RTT)
 	}
-	if e.Code != "ecanceled" && e.Code != "enoent" {
+	// Where reasons are told, an error without one is the txn's own or chance. Counted, a spell of errors cut
+	// every cache's limit and ended second hops. It harms where one cache errs alone: a hop more each.
+	mute := e.Code == "ecanceled" || e.Code == "err" && e.Note == 0 && r.told
+	if !mute && e.Code != "enoent" {
 		r.ended(t, h, e.Code == "done" && !r.overdue(t, h))
 	}
-	if h.kind == fills && !t.rule.write && e.Code != "ecanceled" {
+	if h.kind == fills && !t.rule.write && !mute {
 		r.failed = r.note(r.failed, e.Code != "done")
 	}
 	if e.Final {
@@ -1001,14 +993,21 @@
 		if s.health == down && r.now >= s.due {
 			r.judge(s, signDue)
 		}
-		// Silent is a server that has left several hops unanswered for far longer than answers take, whatever
-		// the cause. It harms where answers are few and all slow, hence the count; a probe settles it.
+		// Silent: several hops unanswered for far longer than answers take. It harms where answers are few and
+		// all slow, hence the count; a probe settles it.
 		const unheard = 3
 		if s.out >= unheard && r.now-s.waiting > r.quiet {
 			r.judge(s, signSilent)
 			s.waiting = r.now
 		}
 	}
+	r.order = slices.DeleteFunc(r.order, func(s *server) bool { // a long day replaces them all, time and again
+		over := s.gone && s.out == 0
+		if over {
+			delete(r.servers, s.id)
+		}
+		return over
+	})
 	r.open = slices.DeleteFunc(r.open, func(t *txn) bool { return t.state == closed })
 	for _, t := range r.open {
 		if t.due > 0 && r.now >= t.due {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -508,3 +508,42 @@
 		only(t, r.Handle(begin+ms, out, nil), want)
 	}
 }
+
+// A spell of errors at all caches alike once cut every limit and ended second hops: up to 23% were refused.
+// A fill that failed for a reason still counts.
+func TestErrorsWithoutAReasonCutNothing(t *testing.T) {
+	for _, note := range []int{0, 7} {
+		r := router(func(s *Settings) { s.Family.Tells = "all" })
+		start := r.servers[cacheA].room[fills].limit
+		for i := range 40 {
+			e, now := request("read"), begin+int64(i)*ms
+			e.Txn = fmt.Sprint(i)
+			get := only(t, r.Handle(now, e, nil), ActGet)
+			acts := r.Handle(now, Event{Kind: EvAnswer, Txn: e.Txn, Server: get.Server, Code: "err", Note: note}, nil)
+			if note == 0 {
+				only(t, acts, ActGet)
+			}
+			r.Handle(now, Event{Kind: EvAbandoned, Txn: e.Txn}, nil)
+		}
+		if got := min(r.servers[cacheA].room[fills].limit, r.servers[cacheB].room[fills].limit); (got < start) != (note > 0) {
+			t.Errorf("note %d: limit %g, %g at the start", note, got, start)
+		}
+	}
+}
+
+// On a day that replaces its servers all the time, those gone were once remembered for good.
+func TestGoneServersAreForgotten(t *testing.T) {
+	r := router(nil)
+	get := only(t, r.Handle(begin, request("read"), nil), ActGet)
+	gone := []Entry{{Server: cacheA, Zone: "z", Kind: "box", State: "left"}, {Server: cacheB, Zone: "z", Kind: "box", State: "left"}}
+	r.Handle(begin+ms, Event{Kind: EvDiscovery, Scope: "diff", Entries: gone}, nil)
+	r.Handle(begin+50*ms, Event{Kind: EvTimer}, nil)
+	if len(r.servers) != 3 || r.servers[get.Server] == nil {
+		t.Fatalf("%d servers, want two and the one with a hop out", len(r.servers))
+	}
+	r.Handle(begin+60*ms, Event{Kind: EvAnswer, Txn: "t", Server: get.Server, Code: "done", Final: true}, nil)
+	r.Handle(begin+90*ms, Event{Kind: EvTimer}, nil)
+	if len(r.servers) != 2 || len(r.order) != 2 {
+		t.Fatalf("%d servers, %d in order", len(r.servers), len(r.order))
+	}
+}
