--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -96,6 +96,7 @@
 	}
 	// What is under way towards the listener when the signal comes is still taken.
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(c.Limits.AcceptOn))
+	time.AfterFunc(c.Limits.AcceptOn, r.front.Crowd)
 	<-served
 	l.Close()
 	time.Sleep(c.Limits.ServeOn)
--- a/cmd/quilldoor/serve_test.go
+++ b/cmd/quilldoor/serve_test.go
@@ -76,7 +76,7 @@
 }
 
 func ack(id, body string) string {
-	return fmt.Sprintf("%s ACK entity=e1,detail=HIT %d\r\n%s\r\n", id, len(body), body)
+	return fmt.Sprintf("%s ACK entity=e1,issued=7,detail=HIT %d\r\n%s\r\n", id, len(body), body)
 }
 
 // running is a router under test.
@@ -228,10 +228,12 @@
 
 func TestConversation(t *testing.T) {
 	long := strings.Repeat("0123456789", 24_000)
-	origin := newStandIn(t, func(id, _, body string) string { return ack(id, "signed "+body) })
+	origin := newStandIn(t, func(id, _, body string) string {
+		return strings.Replace(ack(id, "signed "+body), "entity=e1,issued=7,", "", 1)
+	})
 	cache := newStandIn(t, func(id, fields, _ string) string {
 		if strings.Contains(fields, "mine=e1") {
-			return id + " NOMOD entity=e1 0\r\n\r\n"
+			return id + " NOMOD entity=e1,issued=7 0\r\n\r\n"
 		}
 		return ack(id, long)
 	})
@@ -266,11 +268,14 @@
 	addr := startRouter(t, none.Addr().String(), none.Addr().String()).addr
 	c := dial(t, addr)
 	for target, status := range map[string]string{"/rpc/none/x": "404", "/other": "404", "/rpc/page/a,b": "400",
-		"/rpc/page/a/n--1": "400", "/rpc/page/a/3": "400", "/rpc/sign/x": "405"} {
+		"/rpc/page/a/n--1": "400", "/rpc/page/a/3": "400", "/rpc/sign/x": "405", "/rpc/page/" + strings.Repeat("x", 200): "400"} {
 		c.send("GET", target, "", "")
 		c.want(t, status)
 	}
-	for _, header := range []string{"X-Txn: 12", "X-Ttl-Ms: -5", "X-Ttl-Ms: soon", "X-Shard: 256"} {
+	// What doesn't fit a cache server's line once closed it over other hops.
+	for _, header := range []string{"X-Txn: 12", "X-Ttl-Ms: -5", "X-Ttl-Ms: soon", "X-Ttl-Ms: 9000000", "X-Ttl-Ms: NaN",
+		"X-Shard: 256", "X-Shard: 1\r\nX-Shard: 1", "X-Shard: 01", "X-Shard: 1\r\nContent-Length: 2\r\n",
+		"X-Shard: 1\r\nIf-None-Match: " + strings.Repeat("x", 200)} {
 		name, _, _ := strings.Cut(header, ":")
 		text := "GET /rpc/page/x HTTP/1.1\r\nHost: x\r\nX-Txn: 00000000000000aa\r\nX-Ttl-Ms: 5\r\nX-Shard: 1\r\n\r\n"
 		at := strings.Index(text, name)
@@ -278,7 +283,9 @@
 		c.want(t, "400")
 	}
 	for text, status := range map[string]string{"nonsense\r\n\r\n": "400", "GET /" + strings.Repeat("x", 20_000): "431",
-		"PUT / HTTP/1.1\r\nContent-Length: 48001\r\n\r\n": "413"} {
+		"PUT / HTTP/1.1\r\nContent-Length: 48001\r\n\r\n":                                      "413",
+		"GET / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n": "501",
+		"GET / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n": "501"} {
 		c := dial(t, addr)
 		io.WriteString(c, text)
 		c.want(t, status)
@@ -327,7 +334,7 @@
 
 // What broke off, or broke the protocol, was answered whole by the next try.
 func TestBrokenAnswersAreTriedAgain(t *testing.T) {
-	for _, first := range []string{"CLOSE", "%s ACK - 10\r\n01234CLOSE", "%s ACK - -1\r\n", "nobody ACK - 0\r\n\r\n", "x\r\n"} {
+	for _, first := range []string{"CLOSE", "%s ACK entity=e,issued=7 10\r\n01234CLOSE", "%s ACK - -1\r\n", "%s ACK - 0\r\n\r\n", "x\r\n"} {
 		tries := 0
 		server := newStandIn(t, func(id, _, _ string) string {
 			if tries++; tries == 1 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -223,22 +223,25 @@
 	PerServer int // before hops share a connection
 	Streams   int // hops on a connection
 
-	Head   int   // bytes of a message's head
-	Fields int   // headers
-	Upload int   // bytes of a client's body
-	Answer int   // bytes of a cache server's body
-	News   int   // bytes of the notice board's answer
-	Held   int64 // bytes of bodies at once
+	Head    int   // bytes of a message's head
+	Fields  int   // headers
+	Upload  int   // bytes of a client's body
+	ReadOff int   // bytes read behind a refusal
+	Answer  int   // bytes of a cache server's body
+	News    int   // bytes of the notice board's answer
+	Held    int64 // bytes of bodies at once
 
 	LongestTxn   time.Duration // time limits told are cut to this
-	RequestTime  time.Duration // for a request to come whole, from its first byte
+	RequestTime  time.Duration // for a request to come whole, from its first byte; for the first one, from the connection's start
 	IdleClient   time.Duration
+	ReadOn       time.Duration // behind a refusal, and for one to be taken in
 	ReplySlack   time.Duration // past a txn's time limit, for a slow reader
 	Connect      time.Duration
 	IdleUpstream time.Duration
 	Write        time.Duration // for a server to take a write in
 	Frame        time.Duration // for a server to finish an answer that it began
-	Remember     time.Duration // dropped hops, whose answers may still come
+	Stall        time.Duration // within an answer, between two pieces of it
+	Remember     time.Duration // hops that are over, of which an answer may still come
 	Linger       time.Duration // of a poll
 	PollSlack    time.Duration
 	RetryFirst   time.Duration // after a failed poll, doubling
@@ -261,13 +264,15 @@
 		// to 20 kB: all of them fill three eighths of the memory at most, bodies half of that.
 		Sockets: sockets, Clients: min(sockets*2/5, int(memory>>16)), Upstream: min(sockets*2/5, int(memory>>17)),
 		PerServer: 64, Streams: max(s.Limits.StreamsPerConn, 1),
-		Head: 16 << 10, Fields: 64, Upload: 48_000, Answer: 240_000, News: int(min(4<<20, memory/16)),
-		Held:        memory * 3 / 16,
-		RequestTime: 5 * time.Second, IdleClient: 30 * time.Second, ReplySlack: 50 * ms,
+		Head: 16 << 10, Fields: 64, Upload: 48_000, ReadOff: 256 << 10, Answer: 240_000, News: int(min(4<<20, memory/16)),
+		Held: memory * 3 / 16,
+		// A client that never gets to a request is owed an end within 3 s; usual ones
+		// close their idle connections after 4 s.
+		RequestTime: 2500 * ms, IdleClient: 5 * time.Second, ReadOn: 400 * ms, ReplySlack: 50 * ms,
 		Connect: cmp.Or(millis(s.Limits.ConnectTimeoutMs), 400*ms),
 		// Servers close theirs at the full time; a hop must not cross that.
 		IdleUpstream: cmp.Or(millis(s.Limits.ConnIdleMs), 15*time.Second) * 4 / 5,
-		Write:        100 * ms, Linger: time.Second, PollSlack: 500 * ms,
+		Write:        100 * ms, Stall: 400 * ms, Linger: time.Second, PollSlack: 500 * ms,
 		RetryFirst: 20 * ms, RetryMost: 250 * ms,
 		AcceptOn: 450 * ms, ServeOn: 250 * ms,
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -90,7 +90,7 @@
 	t := &Txn{ID: e.Txn, core: c, deadline: now + e.Remaining, wake: wake}
 	c.txns[t.ID] = t
 	c.open++
-	c.at(now, timer{due: t.deadline + c.slack, txn: t})
+	t.limit = c.at(now, &timer{due: t.deadline + c.slack, txn: t})
 	e.Kind = logic.EvTxn
 	c.handle(now, e)
 	return t, nil
@@ -136,6 +136,7 @@
 		return
 	}
 	h.ended = true
+	c.over(h.limit)
 	t.out--
 	if o.Code == "done" && !t.closed {
 		t.post(Order{Kind: Completed, Reply: o.Reply})
@@ -211,7 +212,7 @@
 	return next, errands
 }
 
-func (c *Core) due(now int64, d timer) {
+func (c *Core) due(now int64, d *timer) {
 	switch {
 	case d.hop != nil:
 		if d.hop.ended {
@@ -282,7 +283,7 @@
 			c.ended(now, h, Outcome{Code: code})
 		}
 	case logic.ActTimer:
-		c.at(now, timer{due: a.Due, token: a.Token})
+		c.at(now, &timer{due: a.Due, token: a.Token})
 	case logic.ActProbe, logic.ActDisconnect:
 		if s := c.servers[a.Server]; s != nil {
 			kind := Probe
@@ -326,13 +327,14 @@
 		c.ended(now, h, Outcome{Code: "skipped"})
 		return
 	}
-	c.at(now, timer{due: h.Due, hop: h})
+	h.limit = c.at(now, &timer{due: h.Due, hop: h})
 	t.post(Order{Kind: Send, Hop: h})
 }
 
 // close ends the txn for the client. Its hops still get their outcomes.
 func (c *Core) close(t *Txn) {
 	t.closed = true
+	c.over(t.limit)
 	c.open--
 	c.forget(t)
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -75,8 +75,9 @@
 	if o := next(t, txn, Completed); o.Reply != Reply(first) || first.released != 0 || second.released != 1 {
 		t.Fatalf("answer %+v, released %d and %d", o, first.released, second.released)
 	}
-	if n, _ := w.Count(); n != 0 || len(w.txns) != 0 {
-		t.Fatalf("%d txns open, %d remembered", n, len(w.txns))
+	// Timers once held ended txns for seconds; one, the module's, stays.
+	if n, _ := w.Count(); n != 0 || len(w.txns) != 0 || len(w.timers) != 1 {
+		t.Fatalf("%d txns open, %d remembered, %d timers", n, len(w.txns), len(w.timers))
 	}
 }
 
--- a/internal/core/txn.go
+++ b/internal/core/txn.go
@@ -33,6 +33,7 @@
 	ID       string
 	core     *Core
 	deadline int64
+	limit    *timer
 	closed   bool
 	hops     []*Hop
 	out      int // hops that have not ended
@@ -82,6 +83,7 @@
 	Carrier interface{ Drop(silent bool) }
 
 	sent  int64
+	limit *timer
 	ended bool
 	state atomic.Uint32
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,14 +29,15 @@
 	draining atomic.Bool
 
 	mu      sync.Mutex
-	clients map[*client]bool // false: no request is open on it
-	room    sync.Cond        // for another client
-	none    sync.Cond        // no client is left
+	clients map[*client]struct{}
+	crowd   bool      // the bound on clients holds no more
+	room    sync.Cond // for another client
+	none    sync.Cond // no client is left
 }
 
 // New makes a front; it is ready once told so.
 func New(c *core.Core, up *upstream.Pool, bodies *buffer.Pool, limits *config.Limits) *Front {
-	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]bool{}}
+	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]struct{}{}}
 	f.room.L, f.none.L = &f.mu, &f.mu
 	return f
 }
@@ -45,8 +46,7 @@
 func (f *Front) Ready() bool { return f.ready.CompareAndSwap(false, true) }
 
 // Serve accepts clients until the listener is closed or its deadline passes.
-// Above the bound on clients it waits for one to leave, and closes one that is
-// idle to that end.
+// Above the bound on clients it makes one give way and waits until it has left.
 func (f *Front) Serve(l net.Listener) error {
 	for {
 		sock, err := l.Accept()
@@ -61,26 +61,44 @@
 			}
 			return err
 		}
-		c := &client{Conn: sock, r: bufio.NewReaderSize(sock, buffer.Size)}
+		c := &client{Conn: sock, r: bufio.NewReaderSize(sock, buffer.Size), since: time.Now()}
 		f.mu.Lock()
-		for len(f.clients) >= f.limits.Clients {
-			f.closeIdle(1)
+		for len(f.clients) >= f.limits.Clients && !f.crowd {
+			f.giveWay()
 			f.room.Wait()
 		}
-		f.clients[c] = false
+		f.clients[c] = struct{}{}
 		f.mu.Unlock()
 		go f.serve(c)
 	}
 }
 
-// closeIdle closes so many connections on which no request is open.
-func (f *Front) closeIdle(most int) {
-	for c, busy := range f.clients {
-		if !busy && most > 0 {
-			c.Close()
-			most--
+// giveWay closes a connection on which no txn is open: the oldest of those that
+// never had an answer, else the one idle longest. Silent clients come by the
+// hundreds and go first; a usual one asks again on a new connection.
+func (f *Front) giveWay() {
+	var first *client
+	for c := range f.clients {
+		if c.state == busy || c.state == over {
+			continue
+		}
+		if first == nil || first.asked && !c.asked || first.asked == c.asked && c.since.Before(first.since) {
+			first = c
 		}
 	}
+	if first != nil {
+		first.state = over
+		first.Close()
+	}
+}
+
+// Crowd lifts the bound on clients: at the end whoever waits for room is served,
+// since the listener's deadline would not wake Serve.
+func (f *Front) Crowd() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crowd = true
+	f.room.Signal()
 }
 
 // Drain makes every further answer the last on its connection, closes idle
@@ -96,7 +114,11 @@
 	until := time.Now().Add(within)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.closeIdle(len(f.clients))
+	for c := range f.clients {
+		if c.state == waiting {
+			c.Close()
+		}
+	}
 	for len(f.clients) > 0 && time.Now().Before(until) {
 		f.none.Wait()
 	}
@@ -118,12 +140,33 @@
 	// first is when the first byte of the request after the one in hand came, if it
 	// has come already.
 	first time.Time
+	until time.Time // when the request in hand must have come whole
+
+	state state // under the front's lock, as what follows
+	asked bool  // it has had an answer
+	since time.Time
 }
 
-func (f *Front) busy(c *client, is bool) {
+type state uint8
+
+const (
+	waiting state = iota // for the first byte of a request
+	sending              // a request is coming
+	busy                 // with a request that has come whole
+	over                 // told to give way
+)
+
+// turn notes a connection's state; who has become idle may give way.
+func (f *Front) turn(c *client, to state) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.clients[c] = is
+	if c.state != over {
+		c.state = to
+	}
+	if to == waiting {
+		c.asked, c.since = true, time.Now()
+		f.room.Signal()
+	}
 }
 
 // serve is the life of a client's connection.
@@ -142,21 +185,30 @@
 		if f.draining.Load() {
 			return
 		}
-		f.busy(c, false)
+		f.turn(c, waiting)
 	}
 }
 
-// next waits for the first byte of a request.
+// next waits for the first byte of a request. A client that never had an answer
+// has one time for that and for its whole request: it is owed an end.
 func (f *Front) next(c *client) bool {
-	c.SetReadDeadline(time.Now().Add(f.limits.IdleClient))
+	c.until = c.since.Add(f.limits.RequestTime)
+	if c.asked {
+		c.SetReadDeadline(time.Now().Add(f.limits.IdleClient))
+	} else {
+		c.SetReadDeadline(c.until)
+	}
 	if _, err := c.r.Peek(1); err != nil {
 		return false
 	}
 	if c.first.IsZero() {
 		c.first = time.Now()
 	}
-	f.busy(c, true)
-	c.SetReadDeadline(c.first.Add(f.limits.RequestTime))
+	if c.asked {
+		c.until = c.first.Add(f.limits.RequestTime)
+		c.SetReadDeadline(c.until)
+	}
+	f.turn(c, sending)
 	return true
 }
 
@@ -175,7 +227,7 @@
 		return false
 	}
 	if h.Continue && h.Length > 0 {
-		if f.write(c, time.Now().Add(f.limits.Write), []byte("HTTP/1.1 100 Continue\r\n\r\n")) != nil {
+		if f.write(c, c.until, []byte("HTTP/1.1 100 Continue\r\n\r\n")) != nil {
 			return false
 		}
 	}
@@ -186,6 +238,7 @@
 		}
 		defer body.Release()
 	}
+	f.turn(c, busy)
 	last := h.Close || f.draining.Load()
 	var t *ask
 	status := 503
@@ -205,7 +258,8 @@
 	return f.txn(c, t, last) && !last
 }
 
-// refuse answers what is no request, and gives the client the time to read it.
+// refuse answers what is no request. It reads on for a while, since a connection
+// closed over bytes that nobody read is reset, and the reset may eat the answer.
 func (f *Front) refuse(c *client, status int) {
 	if !f.plain(c, status, true) {
 		return
@@ -213,13 +267,13 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.CloseWrite()
 	}
-	c.SetReadDeadline(time.Now().Add(f.limits.Write))
-	c.r.Discard(f.limits.Head)
+	c.SetReadDeadline(time.Now().Add(f.limits.ReadOn))
+	c.r.Discard(f.limits.ReadOff)
 }
 
-// plain answers without a body.
+// plain answers without a body. What fits no socket's buffer isn't worth a wait.
 func (f *Front) plain(c *client, status int, last bool) bool {
-	return f.write(c, time.Now().Add(f.limits.LongestTxn), http1.AppendResponse(nil, status, 0, last)) == nil
+	return f.write(c, time.Now().Add(f.limits.ReadOn), http1.AppendResponse(nil, status, 0, last)) == nil
 }
 
 func (f *Front) write(c *client, until time.Time, bufs ...[]byte) error {
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,166 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/config"
+	"quilldoor/internal/core"
+	"quilldoor/logic"
+)
+
+// door is a front at an address of its own, with no cache behind it: what it
+// takes is rejected at once.
+type door struct {
+	*Front
+	net.Listener
+	served chan error
+}
+
+func newDoor(t *testing.T, clients int, requestTime time.Duration) *door {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := &config.Limits{Clients: clients, Head: 1000, Fields: 10, Upload: 100, ReadOff: 1 << 20,
+		LongestTxn: time.Second, RequestTime: requestTime, IdleClient: 10 * time.Second, ReadOn: 10 * time.Second}
+	set := &logic.Settings{Rules: []logic.RemapRule{{Name: "page", Effect: "safe", SLA: 1000, Importance: 1}}}
+	d := &door{New(core.New(set, 1, func() {}), nil, buffer.NewPool(1<<20), limits), l, make(chan error, 1)}
+	go func() { d.served <- d.Serve(l) }()
+	t.Cleanup(func() {
+		l.Close()
+		d.Crowd()
+	})
+	return d
+}
+
+type visitor struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (d *door) visit(t *testing.T) *visitor {
+	t.Helper()
+	c, err := net.Dial("tcp", d.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return &visitor{c, bufio.NewReader(c)}
+}
+
+// status sends a text and reads the answer's status; "" where there is none.
+func (v *visitor) status(text string) string {
+	io.WriteString(v, text)
+	line, _ := v.r.ReadString('\n')
+	for more := line; len(more) > 2; more, _ = v.r.ReadString('\n') {
+	}
+	if len(line) < 12 {
+		return ""
+	}
+	return line[9:12]
+}
+
+const whole = "GET /rpc/page/x HTTP/1.1\r\nHost: x\r\nX-Txn: %016x\r\nX-Ttl-Ms: 900\r\nX-Shard: 1\r\n\r\n"
+
+// ended fails the test unless the connection ends, and not by its own deadline.
+func (v *visitor) ended(t *testing.T) {
+	t.Helper()
+	for {
+		if _, err := v.r.ReadByte(); err != nil {
+			if os.IsTimeout(err) {
+				t.Fatal("the connection goes on")
+			}
+			return
+		}
+	}
+}
+
+// Silent clients once stayed for 30 s and halves of requests for 5.
+func TestClientsThatAskNothingAreEnded(t *testing.T) {
+	d := newDoor(t, 10, 200*time.Millisecond)
+	for text, want := range map[string]string{"": "", "GET /rpc/page": "408",
+		"PUT /rpc/page/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf": ""} {
+		v := d.visit(t)
+		if got := v.status(text); got != want {
+			t.Errorf("%q: %q, want %q", text, got, want)
+		}
+		v.ended(t)
+	}
+	// One that has asked may stay.
+	v := d.visit(t)
+	v.status(fmt.Sprintf(whole, 1))
+	v.SetReadDeadline(time.Now().Add(2 * d.limits.RequestTime))
+	if _, err := v.r.ReadByte(); !os.IsTimeout(err) {
+		t.Fatalf("a usual client's connection: %v", err)
+	}
+}
+
+// At the bound any idle connection was once closed, usual ones before silent ones.
+func TestSilentClientsGiveWayFirst(t *testing.T) {
+	d := newDoor(t, 3, 10*time.Second)
+	usual, silent, half := d.visit(t), d.visit(t), d.visit(t)
+	if got := usual.status(fmt.Sprintf(whole, 1)); got != "503" {
+		t.Fatal(got)
+	}
+	io.WriteString(half, "GET /")
+	for i, next := range []*visitor{silent, half, usual} {
+		if got := d.visit(t).status(fmt.Sprintf(whole, 2+i)); got != "503" {
+			t.Fatal(got)
+		}
+		next.ended(t)
+	}
+}
+
+// last is a listener that has one client more before its deadline passes.
+type last struct {
+	net.Listener
+	client net.Conn
+}
+
+func (l *last) Accept() (c net.Conn, err error) {
+	if c, l.client = l.client, nil; c == nil {
+		return nil, os.ErrDeadlineExceeded
+	}
+	return c, nil
+}
+
+// A client beyond the bound once kept Serve from seeing the drain's deadline.
+func TestCrowdEndsTheWaitForRoom(t *testing.T) {
+	d := newDoor(t, 1, 10*time.Second)
+	d.mu.Lock()
+	d.clients[&client{state: busy}] = struct{}{}
+	d.mu.Unlock()
+	ours, theirs := net.Pipe()
+	v := &visitor{ours, bufio.NewReader(ours)}
+	v.SetDeadline(time.Now().Add(5 * time.Second))
+	served := make(chan error, 1)
+	go func() { served <- d.Serve(&last{client: theirs}) }()
+	d.Crowd()
+	if got := v.status(fmt.Sprintf(whole, 1)); got != "503" {
+		t.Fatalf("%q", got)
+	}
+	if err := <-served; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A reset behind a refusal once ate it where the client was still sending.
+func TestRefusalOutlivesWhatTheClientStillSends(t *testing.T) {
+	d := newDoor(t, 1, 10*time.Second)
+	v := d.visit(t)
+	io.WriteString(v, "PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 500000\r\n\r\n")
+	if _, err := v.Write(make([]byte, 500_000)); err != nil {
+		t.Fatal(err)
+	}
+	if got := v.status(""); got != "413" {
+		t.Fatalf("%q", got)
+	}
+}
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -26,6 +26,8 @@
 }
 
 // parse reads a txn's target and headers; the status answers one that is wrong.
+// What passes must fit a cache server's line: it closes on what it can't read,
+// over all hops that are out on the connection.
 func (f *Front) parse(h *http1.Head) (*ask, int) {
 	// /rpc/CLASS/OBJECT or /rpc/CLASS/OBJECT/n-PART
 	part := strings.Split(strings.TrimPrefix(h.Target, "/rpc/"), "/")
@@ -39,8 +41,14 @@
 	if want := map[bool]string{true: "PUT", false: "GET"}[rule.Write]; h.Method != want {
 		return nil, 405
 	}
+	if _, told := h.Get("content-length"); rule.Write && !told {
+		return nil, 411
+	}
 	a := &ask{event: logic.Event{Rule: rule.Name, Object: part[1], Write: rule.Write}}
-	ok := lines.Plain(part[1])
+	ok := lines.Plain(part[1]) && (rule.Write || h.Length == 0)
+	for _, name := range []string{"x-txn", "x-ttl-ms", "x-shard", "x-second-try", "if-none-match"} {
+		ok = ok && h.Count(name) <= 1
+	}
 	if len(part) == 3 {
 		n, named := strings.CutPrefix(part[2], "n-")
 		ok = number(n, 1<<31, &a.event.Part) && named && ok
@@ -50,7 +58,7 @@
 	a.event.Txn = id
 	var ttl int64
 	left, _ := h.Get("x-ttl-ms")
-	ok = ok && number(left, 1<<31, &ttl) && ttl > 0
+	ok = ok && number(left, f.limits.LongestTxn.Milliseconds()+1, &ttl) && ttl > 0
 	a.ttl = min(time.Duration(ttl)*time.Millisecond, f.limits.LongestTxn)
 	group, _ := h.Get("x-shard")
 	ok = ok && number(group, 255, &a.event.Group)
@@ -60,6 +68,7 @@
 	}
 	if tag, told := h.Get("if-none-match"); told {
 		a.tag = strings.Trim(strings.TrimPrefix(tag, "W/"), `"`)
+		ok = ok && len(tag) <= lines.MostWord
 		if !lines.Plain(a.tag) {
 			a.tag = "" // a list, or any copy at all: nothing that could be passed on
 		}
@@ -70,11 +79,11 @@
 	return a, 0
 }
 
-// number reads a whole number of digits only.
+// number reads a whole number of digits only, as a cache server is told it.
 func number(text string, most int64, to *int64) bool {
 	v, err := strconv.ParseUint(text, 10, 63)
 	*to = int64(v)
-	return err == nil && text[0] != '+' && *to <= most
+	return err == nil && *to <= most && (text[0] != '0' || len(text) == 1)
 }
 
 // txn is the life of a txn, from the request to its answer. The module is asked
@@ -107,7 +116,7 @@
 			switch o.Kind {
 			case core.Send:
 				flight := &upstream.Flight{Hop: o.Hop, Class: a.event.Rule, Object: a.event.Object,
-					Part: a.event.Part, Tag: a.tag, Body: a.body}
+					Part: a.event.Part, Tag: a.tag, Body: a.body, Write: a.event.Write}
 				o.Hop.Carrier = flight
 				f.up.Send(flight)
 			case core.Drop:
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -46,6 +46,16 @@
 	return "", false
 }
 
+// Count tells how often a header stands in the head.
+func (h *Head) Count(name string) (n int) {
+	for _, f := range h.Fields {
+		if f.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
 // Bounds on a head: all lines together, and their number.
 type Bounds struct{ Bytes, Fields, Body int }
 
@@ -180,7 +190,7 @@
 }
 
 var reasons = map[int]string{200: "OK", 304: "Not Modified", 400: "Bad Request", 404: "Not Found",
-	405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
+	405: "Method Not Allowed", 408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
 	431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 	505: "HTTP Version Not Supported"}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 )
@@ -24,8 +25,14 @@
 	Length            int
 }
 
+// MostWord bounds what stands as a value among the fields.
+const MostWord = 128
+
 // Plain tells whether text can stand as a value among the fields.
 func Plain(text string) bool {
+	if len(text) > MostWord {
+		return false
+	}
 	for _, c := range []byte(text) {
 		letter := c|0x20 >= 'a' && c|0x20 <= 'z' || c >= '0' && c <= '9'
 		if !letter && strings.IndexByte("-_.~:@!$*/", c) < 0 {
@@ -153,7 +160,13 @@
 		return a, broken("length %.20q", part[3])
 	}
 	a.Length = int(n)
-	return a, a.fields(part[2])
+	if err := a.fields(part[2]); err != nil {
+		return a, err
+	}
+	if a.Word == NoMod && a.Length > 0 {
+		return a, broken("NOMOD with %d bytes", a.Length)
+	}
+	return a, nil
 }
 
 func (a *Answer) fields(text string) (err error) {
@@ -173,7 +186,7 @@
 		case "detail":
 			a.Note = notes[value] // an unknown note tells nothing
 		case "delay":
-			a.Delay, err = strconv.ParseFloat(value, 64)
+			a.Delay, err = figure(value)
 		case "use":
 			a.Load, err = load(value)
 		}
@@ -188,7 +201,7 @@
 	out := map[string]float64{}
 	for pair := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(pair, ":")
-		v, err := strconv.ParseFloat(value, 64)
+		v, err := figure(value)
 		if err != nil {
 			return nil, err
 		}
@@ -197,6 +210,15 @@
 	return out, nil
 }
 
+// figure reads what the module may reckon with: strconv takes NaN and Inf, too.
+func figure(text string) (float64, error) {
+	v, err := strconv.ParseFloat(text, 64)
+	if err == nil && !(v >= 0 && v <= math.MaxInt32) {
+		err = strconv.ErrRange
+	}
+	return v, err
+}
+
 // ReadEnd reads the CR LF behind a body.
 func ReadEnd(r *bufio.Reader) error {
 	end, err := r.Peek(2)
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -42,7 +42,9 @@
 	for _, text := range []string{
 		"9b ACK - -1\r\n", "9b ACK - 1001\r\n", "9b ACK - 99999999999999999999\r\n", "9b ACK -\r\n", "9b HELLO - 0\r\n",
 		" ACK - 0\r\n", "9b ACK - 0\n", "9b ACK delay 0\r\n", "9b ACK delay=x 0\r\n", "9b ACK use=a:b 0\r\n",
-		"9b ACK issued=1.5 0\r\n", "\r\n", "9b ACK entity=" + strings.Repeat("x", 300) + " 0\r\n",
+		"9b ACK issued=1.5 0\r\n", "\r\n",
+		// Not numbers once reached the module.
+		"9b EIO delay=NaN 0\r\n", "9b EIO delay=-1 0\r\n", "9b EIO use=util:Inf 0\r\n", "9b NOMOD entity=e,issued=7 1\r\n", "9b ACK entity=" + strings.Repeat("x", 300) + " 0\r\n",
 	} {
 		if _, err := read(text); !errors.Is(err, ErrBroken) {
 			t.Errorf("%.50q: %v", text, err)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,7 +28,7 @@
 	pool    *Pool
 	peer    *peer
 	open    map[string]*Flight
-	dropped map[string]time.Time // hops given up, whose answers may still come
+	spent   map[string]time.Time // hops over before their txns, whose answers may still come
 	probes  map[string]func(ok bool)
 	queue   []item
 	up      bool // the connection stands
@@ -44,7 +44,7 @@
 
 func (p *Pool) dial(r *peer) *conn {
 	ctx, cancel := context.WithTimeout(context.Background(), p.limits.Connect)
-	c := &conn{pool: p, peer: r, open: map[string]*Flight{}, dropped: map[string]time.Time{},
+	c := &conn{pool: p, peer: r, open: map[string]*Flight{}, spent: map[string]time.Time{},
 		probes: map[string]func(bool){}, cancel: cancel}
 	r.conns = append(r.conns, c)
 	p.total++
@@ -75,6 +75,9 @@
 	c.pool.total--
 	// A new list, since the old one may be walked by who shuts its connections.
 	c.peer.conns = slices.DeleteFunc(slices.Clone(c.peer.conns), func(other *conn) bool { return other == c })
+	if p := c.pool; len(c.peer.conns) == 0 && p.peers[c.peer.place] == c.peer {
+		delete(p.peers, c.peer.place) // servers come and go all day
+	}
 	c.cancel()
 	if c.sock != nil {
 		c.sock.Close()
@@ -184,14 +187,35 @@
 	return err == nil
 }
 
+// pieces reads an answer's pieces. Between answers a peer may be silent; one that
+// stops within an answer is of no further use to any hop on the connection.
+type pieces struct {
+	net.Conn
+	stall time.Duration
+	end   time.Time // for the whole answer; zero: between answers
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	var until time.Time
+	if !p.end.IsZero() {
+		if until = time.Now().Add(p.stall); p.end.Before(until) {
+			until = p.end
+		}
+	}
+	p.SetReadDeadline(until)
+	return p.Conn.Read(b)
+}
+
 // read takes answers until the connection ends or the peer breaks the protocol.
 func (c *conn) read() error {
-	r := bufio.NewReaderSize(c.sock, buffer.Size)
+	from := &pieces{Conn: c.sock, stall: c.pool.limits.Stall}
+	r := bufio.NewReaderSize(from, buffer.Size)
 	for {
+		from.end = time.Time{}
 		if _, err := r.Peek(1); err != nil {
 			return err
 		}
-		c.sock.SetReadDeadline(time.Now().Add(c.pool.limits.Frame))
+		from.end = time.Now().Add(c.pool.limits.Frame)
 		a, err := lines.ReadAnswer(r, c.pool.limits.Answer)
 		if err != nil {
 			return err
@@ -199,23 +223,22 @@
 		if err := c.answer(r, &a); err != nil {
 			return err
 		}
-		c.sock.SetReadDeadline(time.Time{})
 	}
 }
 
 var codes = map[lines.Word]string{lines.Ack: "done", lines.NoMod: "done", lines.NoEnt: "enoent",
 	lines.Again: "busy", lines.EIO: "err", lines.Stale: "skipped"}
 
-// answer reads an answer's body and ends its hop.
+// answer reads an answer's body and ends its hop. One that nobody waits for, a
+// second copy or one under an unknown id, is whole and costs the others nothing.
 func (c *conn) answer(r *bufio.Reader, a *lines.Answer) error {
 	p := c.pool
 	p.mu.Lock()
 	c.heard = time.Now()
 	f, probe := c.open[a.ID], c.probes[a.ID]
-	_, dropped := c.dropped[a.ID]
 	p.mu.Unlock()
-	if f == nil && probe == nil && !dropped || (a.Word == lines.Ready) != (probe != nil) {
-		return fmt.Errorf("%w: it answers nothing that was asked", lines.ErrBroken)
+	if probe != nil && a.Word != lines.Ready || f != nil && !f.fits(a) {
+		return fmt.Errorf("%w: it doesn't answer what was asked", lines.ErrBroken)
 	}
 	var body *buffer.Body
 	var full error
@@ -233,8 +256,10 @@
 	mine := f != nil && c.open[a.ID] == f
 	if mine {
 		delete(c.open, a.ID)
+		if codes[a.Word] != "done" { // its txn may go on
+			c.spent[a.ID] = c.heard
+		}
 	}
-	delete(c.dropped, a.ID)
 	delete(c.probes, a.ID)
 	c.rest()
 	p.mu.Unlock()
@@ -258,6 +283,12 @@
 	return nil
 }
 
+// fits tells whether an answer can be one to the hop. Copies name their tag and age.
+func (f *Flight) fits(a *lines.Answer) bool {
+	copied := a.Word == lines.Ack && !f.Write || a.Word == lines.NoMod
+	return a.Word != lines.Ready && (a.Word != lines.NoMod || f.Tag != "") && (!copied || a.Tag != "" && a.Issued > 0)
+}
+
 // fail ends what is left on the connection.
 func (c *conn) fail(err error) {
 	p := c.pool
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,6 +22,7 @@
 	Part          int64
 	Tag           string
 	Body          *buffer.Body // nil: none
+	Write         bool         // its answer is no copy of an object
 	conn          *conn
 	written       time.Time // under the pool's lock, as conn
 }
@@ -99,8 +100,8 @@
 func (p *Pool) choose(r *peer, id string) *conn {
 	var best *conn
 	for _, c := range r.conns {
-		_, dropped := c.dropped[id]
-		if c.suspect || c.closing || c.open[id] != nil || dropped || len(c.open) >= p.limits.Streams {
+		_, spent := c.spent[id]
+		if c.suspect || c.closing || c.open[id] != nil || spent || len(c.open) >= p.limits.Streams {
 			continue
 		}
 		if best == nil || len(c.open) < len(best.open) ||
@@ -153,7 +154,7 @@
 	c.suspect = c.suspect || silent && c.heard.Before(f.written)
 	sent := !f.Hop.Withdraw()
 	if sent {
-		c.dropped[id] = time.Now()
+		c.spent[id] = time.Now()
 	}
 	c.rest()
 	if !sent || c.dead {
@@ -237,15 +238,15 @@
 }
 
 // Sweep closes connections that have been idle for long, before the server
-// does, and forgets dropped hops whose answers can't come any more.
+// does, and forgets hops whose answers can't come any more.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.peers {
 		for _, c := range r.conns {
-			for id, at := range c.dropped {
+			for id, at := range c.spent {
 				if now.Sub(at) > p.limits.Remember {
-					delete(c.dropped, id)
+					delete(c.spent, id)
 				}
 			}
 			if c.idle() && now.Sub(c.idleSince) > p.limits.IdleUpstream {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	limits := &config.Limits{Upstream: 8, PerServer: 4, Streams: 2, Answer: 1000, Connect: 5 * time.Second,
-		Write: 5 * time.Second, Frame: 5 * time.Second}
+		Write: 5 * time.Second, Frame: 5 * time.Second, Stall: 5 * time.Second}
 	if change != nil {
 		change(limits)
 	}
@@ -96,7 +96,7 @@
 	// A late answer to it is no fault, and nobody's outcome.
 	s.Send(s.flight("b"))
 	r.ReadString('\n')
-	c.Write([]byte("a ACK - 2\r\nxx\r\nb NOENT - 0\r\n\r\n"))
+	c.Write([]byte("a EIO - 2\r\nxx\r\nb NOENT - 0\r\n\r\n"))
 	if code := <-s.ends; code != "enoent" || s.Count() != 1 {
 		t.Fatalf("%s over %d connections", code, s.Count())
 	}
@@ -137,7 +137,9 @@
 }
 
 func TestBrokenConnectionEndsItsHops(t *testing.T) {
-	for _, text := range []string{"", "a HELLO - 0\r\n\r\n", "b ACK - 0\r\n\r\n", "a ACK - 9\r\n1234"} {
+	for _, text := range []string{"", "a HELLO - 0\r\n\r\n", "a READY\r\n", "a ACK entity=e 0\r\n\r\n",
+		"a ACK issued=7 0\r\n\r\n", "a NOMOD entity=e,issued=7 0\r\n\r\n",
+		"a EIO - 9\r\n1234", "a EIO - 3000000000\r\n"} {
 		s := newStand(t, nil)
 		s.Send(s.flight("a"))
 		c, _ := s.got(t)
@@ -148,3 +150,56 @@
 		}
 	}
 }
+
+// A second copy, or an answer under an unknown id, once closed the connection
+// over all hops on it; and the second copy must not answer the txn's next hop.
+func TestStrayAnswersCostNothing(t *testing.T) {
+	s := newStand(t, nil)
+	s.Send(s.flight("a"))
+	c, r := s.got(t)
+	r.ReadString('\n')
+	c.Write([]byte("x ACK entity=e,issued=7 2\r\nxx\r\nx READY\r\na NOENT - 0\r\n\r\n"))
+	if code := <-s.ends; code != "enoent" {
+		t.Fatal(code)
+	}
+	s.Send(s.flight("a"))
+	s.got(t) // on a connection of its own
+	c.Write([]byte("a NOENT - 0\r\n\r\n"))
+	s.Send(s.flight("b"))
+	r.ReadString('\n')
+	c.Write([]byte("b AGAIN - 0\r\n\r\n"))
+	if code := <-s.ends; code != "busy" || s.Count() != 2 {
+		t.Fatalf("%s over %d connections", code, s.Count())
+	}
+}
+
+// Half an answer once held its connection for the longest time limit and more.
+func TestStalledAnswerEndsItsConnection(t *testing.T) {
+	s := newStand(t, func(l *config.Limits) { l.Stall = 10 * time.Millisecond })
+	s.Send(s.flight("a"))
+	c, _ := s.got(t)
+	c.Write([]byte("a ACK entity=e,issued=7 9\r\n1234"))
+	if code := <-s.ends; code != "econnreset" {
+		t.Fatal(code)
+	}
+}
+
+// Servers that come and go all day once left their places behind, also by hops
+// that were sent as the server was retired.
+func TestPlacesEndWithTheirConnections(t *testing.T) {
+	s := newStand(t, nil)
+	f := s.flight("a")
+	s.Send(f)
+	s.got(t)
+	s.Retire([]*core.Server{f.Hop.Server})
+	g := s.flight("b")
+	s.Send(g)
+	c, _ := s.got(t)
+	c.Close()
+	<-s.ends
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.peers) != 0 {
+		t.Fatalf("%d places", len(s.peers))
+	}
+}
