Rest servers by bad signs a moment apart; resets cut no cache's limit

A trace showed each of three caches rested and back time and again, the origin too, and limits of 2 where 30 was the start: two resets in a row, or two hops of one connection, rest a server, and each reset counted as a late fill. Ruled out: connections (146 of 384 descriptors), CPU (0.08 of a second at most).

At fault: healthTable, which took two bad signs at any distance, and Router.answer. A second bad sign counts 100 ms after the first with nothing good between; a reset tells nothing of room. The silence of a server with no hop out is counted from the next one.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -143,8 +143,8 @@
 	signNone               // tells nothing of the server
 )
 
-// healthTable judges by outcomes alone, whatever their cause. One bad sign may be chance, two in a row or
-// silence are not. It harms where a server fails two hops in a row and is well: it rests for a while.
+// healthTable judges by outcomes alone, whatever their cause. One bad sign may be chance; another a moment on
+// with nothing good between, or silence, are not. It harms where a server fails so and is well: it rests.
 var healthTable = []struct {
 	in   health
 	sign sign
@@ -163,14 +163,17 @@
 }
 
 func (r *Router) judge(s *server, sign sign) {
-	if s != nil && sign == signGood {
-		s.waiting = 0
-		if s.out > 0 {
-			s.waiting = r.now
-		}
+	const moment = 100 * ms // several answers of a busy server; hops that end together are one sign
+	switch {
+	case s == nil || sign == signBad && s.health == doubt && r.now < s.due:
+		return
+	case sign == signBad && s.health == up:
+		s.due = r.now + moment
+	case sign == signGood:
+		s.waiting = r.now
 	}
 	for _, row := range healthTable {
-		if s != nil && row.in&s.health != 0 && row.sign == sign {
+		if row.in&s.health != 0 && row.sign == sign {
 			s.health = row.next
 			if row.do != nil {
 				row.do(r, s)
@@ -832,7 +835,7 @@
 	}
 	t.hops = append(t.hops, hop{server: to, source: from, sent: r.now, out: true, kind: kind})
 	to.room[kind].out++
-	if to.out++; to.waiting == 0 {
+	if to.out++; to.out == 1 {
 		to.waiting = r.now
 	}
 	r.charge(to, work)
@@ -931,15 +934,13 @@
 	h := &t.hops[e.Hop]
 	h.out = false
 	s.room[h.kind].out--
-	if s.out--; s.out == 0 {
-		s.waiting = 0
-	}
+	s.out--
 	if e.Code == "done" && t.work == 0 && !t.rule.write {
 		t.rule.works = sample(t.rule.works, e.RTT)
 	}
-	// Where reasons are told, an error without one is the txn's own or chance. Counted, a spell of errors cut
-	// every cache's limit and ended second hops. It harms where one cache errs alone: a hop more each.
-	mute := e.Code == "ecanceled" || e.Code == "err" && e.Note == 0 && r.told
+	// A reset tells nothing of a cache's room; nor, where reasons are told, an error without one: it is the
+	// txn's own or chance. Spells of them cut every limit. It harms where one cache errs alone: a hop more each.
+	mute := e.Code == "ecanceled" || e.Code == "econnreset" || e.Code == "err" && e.Note == 0 && r.told
 	if !mute && e.Code != "enoent" {
 		r.ended(t, h, e.Code == "done" && !r.overdue(t, h))
 	}
