Cut a hop at twice its SLA time also where sizes aren't told

Ruled out: fills (looks hang alike), stale connections (as many that had just been opened).

At fault: Router.hop, which cut hops only where sizes are told. A parent on trial is compared with now, since only hops that fills never make could bring it back up.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -92,7 +92,6 @@
 
 // admit is the design's rule: the rank at which a cache shall keep the object.
 func (r *Router) admit(s *server, h uint64) int {
-	const middle = 2
 	if i := slices.Index(s.kept, h); i >= 0 {
 		s.kept = slices.Delete(s.kept, i, i+1)
 	} else if len(s.kept) >= r.listCap {
@@ -102,7 +101,7 @@
 		s.kept = slices.Delete(s.kept, 0, 1)
 	}
 	s.kept = append(s.kept, h)
-	return middle
+	return 2 // the middle rank
 }
 
 // hash is FNV-1a with a final mix: the same at every router.
@@ -231,7 +230,7 @@
 	}
 }
 
-// back forgets what a server did before. Its list stays: clearing it moved nothing (simulated).
+// back forgets what a server did before; its list stays.
 func (r *Router) back(s *server) {
 	s.rests, s.late = 0, nil
 	r.do(Action{Kind: ActLog, Text: "server is back: " + s.id})
@@ -269,7 +268,7 @@
 	own, all := r.lateOf(s.late, window)
 	if 2*own >= max(all, window) && slices.ContainsFunc(r.order, func(p *server) bool {
 		l, n := r.lateOf(p.late, window)
-		return p != s && p.listed && p.health == up && 2*n >= window && own*n > 2*l*all
+		return p != s && p.listed && p.health != down && 2*n >= window && own*n > 2*l*all
 	}) {
 		r.judge(s, signLate)
 	} else if r.canProbe && s.health == up {
@@ -301,8 +300,8 @@
 	s.spent = append(s.spent, spend{r.now, work})
 }
 
-// sla is the time within which the txn's answer earns all. Where sizes are not told, half the rule's SLA time
-// stands for the sending time: measured times would grow with the very jam that they should show.
+// sla is the time within which the txn's answer earns all. Where sizes are not told, half the rule's SLA
+// time stands for the sending time: measured ones grow with the jam that they should show.
 func (t *txn) sla() int64 {
 	work := t.work
 	if work == 0 {
@@ -569,9 +568,7 @@
 		canProbe: l.Probes, cancel: l.Cancel, pair: l.SecondCopies, pull: set.Discovery == "ask",
 		live: set.WeightKind == "live", told: f.Tells == "all",
 	}
-	if l.RetryAfter {
-		r.stay = l.MaxRetryAfter
-	}
+	r.stay = map[bool]int64{true: l.MaxRetryAfter}[l.RetryAfter]
 	for i, name := range set.Kinds {
 		r.kinds[name] = map[int]role{f.ParentKind: parent, f.OriginKind: origin}[i]
 	}
@@ -735,8 +732,7 @@
 	return window*late < max(all, 1) && 3*s.room[fills].out < s.room[fills].limit
 }
 
-// pick is rendezvous hashing, weighted by size: the usable server of greatest score for the object, those
-// that failed this txn last.
+// pick is rendezvous hashing, weighted by size: the best usable server, those that failed this txn last.
 func (r *Router) pick(t *txn, role role, work int64, fit func(*server) bool) *server {
 	var best *server
 	var top float64
@@ -784,7 +780,6 @@
 	left := t.deadline - r.now
 	work := mean(t.rule.works, t.rule.sla)
 	var to, from *server
-	rank := 0
 	if t.rule.write && r.direct {
 		to, from = r.origin, r.origin
 	} else if to = r.pick(t, edge, work, nil); to != nil {
@@ -808,7 +803,7 @@
 	// Where fills are late, hits need not be: a look takes what the cache holds, then a loan what the parent
 	// holds, without the origin behind it. Else it is given up, unless a fill has room by then.
 	const slack = 0.5 // a fuller link in makes fills late itself
-	mode, kind, grace := 0, fills, int64(0)
+	rank, mode, kind, grace := 0, 0, fills, int64(0)
 	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
 		if next := r.pick(t, edge, work, r.idle); next != nil {
 			to = next
@@ -843,8 +838,8 @@
 		r.charge(from, work)
 	}
 	cap := left
-	if to.role == edge && t.work > 0 {
-		cap = min(left, 2*t.sla()) // by then it earns little and holds a place
+	if to.role == edge { // at twice its SLA time it earns little, holds a place, and may never be answered
+		cap = min(left, 2*t.sla())
 	}
 	r.do(Action{Kind: ActGet, Txn: t.id, Server: to.id, Source: from.id, Rank: rank,
 		Age: r.age(t, grace), Cap: cap, Mode: mode})
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -376,16 +376,21 @@
 	}
 }
 
-// Stuck fills once held their places until the client left.
-func TestHopOfToldSizeEndsAtTwiceItsSLATime(t *testing.T) {
+// Stuck fills once held their places until the client left, where sizes aren't told until now.
+func TestHopEndsAtTwiceItsSLATime(t *testing.T) {
 	r := router(nil)
 	e := request("read")
 	if a := only(t, r.Handle(begin, e, nil), ActGet); a.Cap != sec {
 		t.Fatalf("time-out %d, want twice the SLA time", a.Cap)
 	}
 	e.Txn, e.SizeKB = "u", 0
+	if a := only(t, r.Handle(begin, e, nil), ActGet); a.Cap != sec {
+		t.Fatalf("time-out %d of a hop of unknown size", a.Cap)
+	}
+	// Past the caches there is no place to hold.
+	e.Txn, e.Rule = "v", "once"
 	if a := only(t, r.Handle(begin, e, nil), ActGet); a.Cap != e.Remaining {
-		t.Fatalf("time-out %d of a hop of unknown size, want all that is left", a.Cap)
+		t.Fatalf("time-out %d of a write", a.Cap)
 	}
 }
 
