Charge cold servers only, and look into a connection's maps last

Lists are kept for cold servers only; a connection's maps are asked once it is the best so far. Buffers of 16 kB instead of 8 made no difference (CPU 6.4 and 5.9 s).

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -100,12 +100,11 @@
 func (p *Pool) choose(r *peer, id string) *conn {
 	var best *conn
 	for _, c := range r.conns {
-		_, spent := c.spent[id]
-		if c.suspect || c.closing || c.open[id] != nil || spent || len(c.open) >= p.limits.Streams {
+		if c.suspect || c.closing || len(c.open) >= p.limits.Streams || best != nil &&
+			(len(c.open) > len(best.open) || len(c.open) == len(best.open) && !c.idleSince.After(best.idleSince)) {
 			continue
 		}
-		if best == nil || len(c.open) < len(best.open) ||
-			len(c.open) == len(best.open) && c.idleSince.After(best.idleSince) {
+		if _, spent := c.spent[id]; !spent && c.open[id] == nil {
 			best = c
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -279,14 +279,14 @@
 // coldShare is the part of the fall-over budget in use: the rest covers who learns late, and large sizes.
 const coldShare = 0.75
 
+func (r *Router) warm(s *server) bool { return s.born == 0 || r.now-s.born >= r.cold[s.role].lasts }
+
 // affords tells whether a server can be sent work more: any once warm, else this router's share in a window.
 func (r *Router) affords(s *server, work int64) bool {
-	c := r.cold[s.role]
-	age := r.now - s.born
-	if s.born == 0 || age >= c.lasts {
+	if r.warm(s) {
 		return true
 	}
-	sum := work
+	c, age, sum := r.cold[s.role], r.now-s.born, work
 	s.spent = slices.DeleteFunc(s.spent, func(p spend) bool { return p.at <= r.now-r.fallFor })
 	for _, p := range s.spent {
 		sum += p.work
@@ -296,6 +296,10 @@
 }
 
 func (r *Router) charge(s *server, work int64) {
+	if r.warm(s) { // nobody asks; at a thousand txns a second the list was a tenth of the module's time
+		s.spent = nil
+		return
+	}
 	s.spent = slices.DeleteFunc(s.spent, func(p spend) bool { return p.at <= r.now-r.fallFor })
 	s.spent = append(s.spent, spend{r.now, work})
 }
