Keep the place of an evicted connection; begin nothing for a client that gave way

A request that came whole as its connection was told to give way would still have been passed on (front, turn). Each test fails without its fix.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -156,17 +156,19 @@
 	over                 // told to give way
 )
 
-// turn notes a connection's state; who has become idle may give way.
-func (f *Front) turn(c *client, to state) {
+// turn notes a connection's state; who has become idle may give way. False: it
+// has been closed to that end, and nothing must be begun for it.
+func (f *Front) turn(c *client, to state) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.state != over {
-		c.state = to
+	if c.state == over {
+		return false
 	}
-	if to == waiting {
+	if c.state = to; to == waiting {
 		c.asked, c.since = true, time.Now()
 		f.room.Signal()
 	}
+	return true
 }
 
 // serve is the life of a client's connection.
@@ -185,7 +187,9 @@
 		if f.draining.Load() {
 			return
 		}
-		f.turn(c, waiting)
+		if !f.turn(c, waiting) {
+			return
+		}
 	}
 }
 
@@ -208,8 +212,7 @@
 		c.until = c.first.Add(f.limits.RequestTime)
 		c.SetReadDeadline(c.until)
 	}
-	f.turn(c, sending)
-	return true
+	return f.turn(c, sending)
 }
 
 // request serves one request; false: the connection is to be closed.
@@ -238,7 +241,9 @@
 		}
 		defer body.Release()
 	}
-	f.turn(c, busy)
+	if !f.turn(c, busy) {
+		return false
+	}
 	last := h.Close || f.draining.Load()
 	var t *ask
 	status := 503
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -119,6 +119,26 @@
 	}
 }
 
+// A request that came whole as its connection gave way would have run for nobody.
+func TestNothingIsBegunForWhoGaveWay(t *testing.T) {
+	d := newDoor(t, 1, 10*time.Second)
+	ours, theirs := net.Pipe()
+	c := &client{Conn: theirs, r: bufio.NewReader(theirs), since: time.Now(), state: over}
+	got := make(chan int)
+	go func() {
+		fmt.Fprintf(ours, whole, 1)
+		n, _ := ours.Read(make([]byte, 1))
+		got <- n
+	}()
+	if d.next(c) || d.request(c) {
+		t.Error("the connection goes on")
+	}
+	theirs.Close()
+	if <-got > 0 {
+		t.Error("answered")
+	}
+}
+
 // last is a listener that has one client more before its deadline passes.
 type last struct {
 	net.Listener
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -47,6 +47,7 @@
 	c := &conn{pool: p, peer: r, open: map[string]*Flight{}, spent: map[string]time.Time{},
 		probes: map[string]func(bool){}, cancel: cancel}
 	r.conns = append(r.conns, c)
+	p.peers[r.place] = r // the last connection to it may just have been evicted
 	p.total++
 	go c.run(ctx)
 	return c
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -184,6 +184,23 @@
 	}
 }
 
+// A place whose only connection was evicted for a new one to it would be lost to
+// sweeps and to the end.
+func TestEvictionForItsOwnPlaceKeepsThePlace(t *testing.T) {
+	s := newStand(t, func(l *config.Limits) { l.Upstream = 1 })
+	s.Send(s.flight("a"))
+	c, _ := s.got(t)
+	c.Write([]byte("a NOENT - 0\r\n\r\n"))
+	<-s.ends
+	s.Send(s.flight("a")) // not on the connection that may still bring a copy
+	s.got(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.peers) != 1 || s.total != 1 {
+		t.Fatalf("%d places for %d connections", len(s.peers), s.total)
+	}
+}
+
 // Servers that come and go all day once left their places behind, also by hops
 // that were sent as the server was retired.
 func TestPlacesEndWithTheirConnections(t *testing.T) {
