--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -136,13 +136,7 @@
 // Run polls the board at an address until the context ends; run again at another,
 // it goes on behind the last event. After a failure the last list stays.
 func (f *Follower) Run(ctx context.Context, addr string) {
-	f.addr = addr
-	defer func() {
-		if f.conn != nil {
-			f.conn.Close()
-			f.conn = nil
-		}
-	}()
+	f.addr, f.conn = addr, nil // a connection of before was closed by its context
 	wait, lost := time.Duration(0), false
 	for ctx.Err() == nil {
 		news, err := f.fetch(ctx)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -232,7 +232,7 @@
 	Held    int64 // bytes of bodies at once
 
 	LongestTxn   time.Duration // time limits told are cut to this
-	RequestTime  time.Duration // for a request to come whole, from its first byte; for the first one, from the connection's start
+	RequestTime  time.Duration // for a request to come whole: from its first byte, the first one from the start
 	IdleClient   time.Duration
 	ReadOn       time.Duration // behind a refusal, and for one to be taken in
 	ReplySlack   time.Duration // past a txn's time limit, for a slow reader
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -215,9 +215,6 @@
 func (c *Core) due(now int64, d *timer) {
 	switch {
 	case d.hop != nil:
-		if d.hop.ended {
-			return
-		}
 		// Without a connection, so far, it is proven that nothing ran.
 		code := "etimedout"
 		if d.hop.Withdraw() {
@@ -227,11 +224,9 @@
 		c.ended(now, d.hop, Outcome{Code: code})
 	case d.txn != nil:
 		// No answer has come from the module by now, and one is owed.
-		if !d.txn.closed {
-			d.txn.post(Order{Kind: Aborted})
-			c.close(d.txn)
-			c.queue = append(c.queue, logic.Event{Kind: logic.EvAbandoned, Txn: d.txn.ID})
-		}
+		d.txn.post(Order{Kind: Aborted})
+		c.close(d.txn)
+		c.queue = append(c.queue, logic.Event{Kind: logic.EvAbandoned, Txn: d.txn.ID})
 	default:
 		c.queue = append(c.queue, logic.Event{Kind: logic.EvTimer, Token: d.token})
 	}
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -46,27 +46,28 @@
 	}
 	a := &ask{event: logic.Event{Rule: rule.Name, Object: part[1], Write: rule.Write}}
 	ok := lines.Plain(part[1]) && (rule.Write || h.Length == 0)
-	for _, name := range []string{"x-txn", "x-ttl-ms", "x-shard", "x-second-try", "if-none-match"} {
+	only := func(name string) (string, bool) { // what stands twice is refused
 		ok = ok && h.Count(name) <= 1
+		return h.Get(name)
 	}
 	if len(part) == 3 {
 		n, named := strings.CutPrefix(part[2], "n-")
 		ok = number(n, 1<<31, &a.event.Part) && named && ok
 	}
-	id, _ := h.Get("x-txn")
+	id, _ := only("x-txn")
 	ok = ok && len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == ""
 	a.event.Txn = id
 	var ttl int64
-	left, _ := h.Get("x-ttl-ms")
+	left, _ := only("x-ttl-ms")
 	ok = ok && number(left, f.limits.LongestTxn.Milliseconds()+1, &ttl) && ttl > 0
 	a.ttl = min(time.Duration(ttl)*time.Millisecond, f.limits.LongestTxn)
-	group, _ := h.Get("x-shard")
+	group, _ := only("x-shard")
 	ok = ok && number(group, 255, &a.event.Group)
-	if again, told := h.Get("x-second-try"); told {
+	if again, told := only("x-second-try"); told {
 		ok = ok && (again == "1" || again == "0")
 		a.event.Repeat = again == "1"
 	}
-	if tag, told := h.Get("if-none-match"); told {
+	if tag, told := only("if-none-match"); told {
 		a.tag = strings.Trim(strings.TrimPrefix(tag, "W/"), `"`)
 		ok = ok && len(tag) <= lines.MostWord
 		if !lines.Plain(a.tag) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -252,12 +252,16 @@
 			return err
 		}
 	}
+	code := codes[a.Word]
+	if full != nil {
+		code = "err"
+	}
 	p.mu.Lock()
 	c.heard = time.Now()
 	mine := f != nil && c.open[a.ID] == f
 	if mine {
 		delete(c.open, a.ID)
-		if codes[a.Word] != "done" { // its txn may go on
+		if code != "done" { // its txn may go on
 			c.spent[a.ID] = c.heard
 		}
 	}
@@ -271,13 +275,10 @@
 		body.Release()
 		return nil
 	}
-	o := core.Outcome{Code: codes[a.Word], Note: a.Note, Waited: settings.Micros(a.Delay), Load: a.Load}
-	switch {
-	case full != nil:
-		o.Code = "err"
-	case o.Code == "done":
+	o := core.Outcome{Code: code, Note: a.Note, Waited: settings.Micros(a.Delay), Load: a.Load}
+	if code == "done" {
 		o.Reply = &Reply{body, a.Tag, a.Word == lines.NoMod}
-	default:
+	} else {
 		body.Release()
 	}
 	p.ended(f.Hop, o)
