Count txns that the router's own copies answer in the module's sketch

Need: a tier of copies before the module must not hide popularity from it. Change: an event of its own, EvKept, that counts the object and opens nothing; core.Kept hands it on.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,6 +96,14 @@
 	return t, nil
 }
 
+// Kept counts a txn that a copy of the router's own answers. It never opens.
+func (c *Core) Kept(now int64, e logic.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.Kind = logic.EvKept
+	c.handle(now, e)
+}
+
 // Leave says that the client has gone.
 func (c *Core) Leave(now int64, t *Txn) {
 	c.mu.Lock()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -607,6 +607,8 @@
 		r.discover(e)
 	case EvTxn:
 		r.arrive(e)
+	case EvKept: // answered from copies of the router's own
+		r.count(hash(e.Object, uint64(e.Part)))
 	case EvAnswer:
 		r.answer(e, s, t)
 	case EvStarted:
@@ -716,14 +718,18 @@
 	r.txns[t.id] = t
 	r.open = append(r.open, t)
 	if !k.write {
-		r.sketch.count(t.key)
-		if r.sampleN > 0 && r.sketch.sample >= r.sampleN {
-			r.sketch.halve()
-		}
+		r.count(t.key)
 	}
 	r.step(t, inArrive)
 }
 
+func (r *Router) count(h uint64) {
+	r.sketch.count(h)
+	if r.sampleN > 0 && r.sketch.sample >= r.sampleN {
+		r.sketch.halve()
+	}
+}
+
 // usable tells whether a server may be sent this txn now or supply it.
 func (r *Router) usable(s *server, work int64) bool {
 	tried := s.health == trial && (s.out > 0 || r.canProbe)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -557,3 +557,19 @@
 		t.Fatalf("%d servers, %d in order", len(r.servers), len(r.order))
 	}
 }
+
+// A txn that the router's own copies answer weighs as any other, and opens nothing.
+func TestKeptTxnsAreCountedOnly(t *testing.T) {
+	r := New(Settings{Siblings: 1, Zone: "z", Zones: []string{"z"}, Kinds: []string{"box", "origin"},
+		Family: Family{OriginKind: 1, ParentKind: -1}}, 1)
+	for range 3 {
+		for _, a := range r.Handle(1, Event{Kind: EvKept, Txn: "t", Object: "x", Part: 2}, nil) {
+			if a.Kind != ActTimer {
+				t.Fatalf("action %+v", a)
+			}
+		}
+	}
+	if n := r.sketch.estimate(hash("x", 2)); n != 3 || len(r.txns) != 0 {
+		t.Fatalf("estimate %d, %d txns open", n, len(r.txns))
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -96,6 +96,7 @@
 	EvPurge
 	EvAnswer
 	EvAbandoned
+	EvKept // a txn that copies of the router's own answer: counted, nothing else
 )
 
 // Event is one thing that an instance is told.
