--- /dev/null
+++ b/internal/shelf/shelf.go
@@ -0,0 +1,360 @@
+// Package shelf runs the disk tier: it carries out on a folder what package tier
+// decides, in goroutines of its own, so that no txn waits for the disk longer
+// than it was told to. What finds no room in a queue is dropped.
+package shelf
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/disk"
+	"quilldoor/internal/tier"
+)
+
+// Config says what a shelf may use.
+type Config struct {
+	FS       disk.FS
+	Path     string // for the log
+	Super    disk.Super
+	Settings tier.Settings // Seed comes from the folder
+	ReadWait time.Duration // a txn waits so long for the disk
+	// Clock gives the wall's and a steady clock's microseconds; nil: the system's.
+	Clock func() (wall, steady int64)
+}
+
+// Shelf is a running tier.
+type Shelf struct {
+	config Config
+	bodies *buffer.Pool
+	log    *logrus.Entry
+	rules  map[string]int
+
+	mu    sync.Mutex // for what follows; never held over I/O
+	tier  *tier.Tier // nil until the folder is open
+	clock tier.Clock
+	lost  bool // the board is lost
+	took  *hdrhistogram.Histogram
+
+	ready  atomic.Bool // recovery is over
+	store  *disk.Store
+	reads  chan *read
+	writes chan *write
+	stop   chan struct{}
+	done   sync.WaitGroup
+}
+
+// Start begins to open the folder and returns at once. Until recovery is over
+// nothing is found and nothing is kept.
+func Start(config Config, bodies *buffer.Pool, log *logrus.Entry) *Shelf {
+	if config.Clock == nil {
+		start := time.Now()
+		config.Clock = func() (wall, steady int64) {
+			now := time.Now()
+			return now.UnixMicro(), now.Sub(start).Microseconds()
+		}
+	}
+	s := &Shelf{config: config, bodies: bodies, log: log.WithField("disk", config.Path), rules: map[string]int{},
+		// Microseconds up to a minute in two figures: some kilobytes.
+		took:  hdrhistogram.New(1, 60_000_000, 2),
+		reads: make(chan *read, config.Settings.Reads), stop: make(chan struct{}),
+		// Each waiting copy takes a slot of the queue at the least.
+		writes: make(chan *write, int(config.Settings.Queue)/config.Settings.Slot+1)}
+	for i, r := range config.Settings.Rules {
+		s.rules[r.Name] = i
+	}
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		s.run()
+	}()
+	return s
+}
+
+// now gives the time to decide by. A jump of the system's clock is a gap in the
+// history of all copies.
+func (s *Shelf) now() int64 {
+	wall, steady := s.config.Clock()
+	if s.clock.Stepped(wall, steady) && s.tier != nil {
+		s.tier.Gap(wall)
+		s.log.Warn("disk tier: the clock has jumped, copies are proven again")
+	}
+	return wall
+}
+
+// run opens the folder, then writes until the shelf is closed.
+func (s *Shelf) run() {
+	if !s.recover() {
+		return
+	}
+	const readers = 4 // a disk serves a few at once better than one by one; each may hold a thread
+	var reading sync.WaitGroup
+	for range readers {
+		reading.Go(s.readAll)
+	}
+	s.writeAll()
+	reading.Wait()
+	s.store.Close()
+}
+
+// recover opens the folder and installs what it holds.
+func (s *Shelf) recover() bool {
+	began := time.Now()
+	set := &s.config.Settings
+	store, found, err := disk.Open(s.config.FS, s.config.Super, set.Slots)
+	if err != nil {
+		s.log.WithError(err).Error("disk tier off")
+		return false
+	}
+	set.Seed = store.Seed()
+	s.mu.Lock()
+	now := s.now()
+	s.store, s.tier = store, tier.New(now, *set)
+	s.tier.Board(now, s.lost)
+	s.mu.Unlock()
+
+	byHash := map[uint32]int{}
+	for i, r := range set.Rules {
+		byHash[disk.RuleHash(r.Name)] = i
+	}
+	// What was written last was wanted last; it is installed last, as the newest.
+	installed, bytes := 0, int64(0)
+	for chunk := range slices.Chunk(found.Entries, 1024) { // purges get in between
+		s.mu.Lock()
+		for i := range chunk {
+			e := &chunk[i]
+			rule, known := byHash[e.Rule]
+			if !known {
+				rule = -1
+			}
+			if s.tier.Install(&tier.Kept{Key: e.Key, Object: e.Object, Issued: e.Issued, Seq: e.Seq, Length: e.Length,
+				Rule: rule, Group: e.Group, Runs: e.Runs}) {
+				installed++
+				bytes += int64(e.Length)
+			}
+		}
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	s.tier.Skip(found.Top)
+	s.mu.Unlock()
+	s.ready.Store(true)
+	s.log.WithFields(logrus.Fields{"parts": installed, "left_out": len(found.Entries) - installed, "bytes": bytes,
+		"frames": found.Frames, "bad_frames": found.BadFrames, "fresh": found.Fresh,
+		"took_ms": time.Since(began).Milliseconds()}).Info("disk tier recovered")
+	return true
+}
+
+// Ask is a read txn that copies may answer.
+type Ask struct {
+	Rule, Object string
+	Part         int64
+	Group        uint8
+	Left         time.Duration // until its time limit
+}
+
+func (s *Shelf) ask(a *Ask) (tier.Ask, bool) {
+	rule, known := s.rules[a.Rule]
+	return tier.Ask{Rule: rule, Object: a.Object, Part: a.Part, Group: a.Group, Left: a.Left.Microseconds()}, known
+}
+
+// Copy is a kept part, read into memory. Its holder releases it.
+type Copy struct {
+	*buffer.Body
+	Tag     string
+	Sure    bool // it may be served as it is; else after it was proven
+	shelf   *Shelf
+	ref     tier.Ref
+	rule    int
+	standIn bool
+}
+
+// Get looks for a copy and reads it. It returns within the time that a txn may
+// wait for the disk; nil: the module decides as ever.
+func (s *Shelf) Get(a *Ask) *Copy {
+	if !s.ready.Load() {
+		return nil
+	}
+	ask, known := s.ask(a)
+	if !known {
+		return nil
+	}
+	s.mu.Lock()
+	verdict, found := s.tier.Look(s.now(), &ask)
+	s.mu.Unlock()
+	if verdict == tier.Miss {
+		return nil
+	}
+	r := &read{ask: a, found: found, sure: verdict == tier.Serve, rule: ask.Rule, done: make(chan *Copy, 1)}
+	select {
+	case <-s.stop:
+		return nil
+	case s.reads <- r: // Look bounds them to the channel's room
+	}
+	wait := time.NewTimer(min(s.config.ReadWait, a.Left/2))
+	defer wait.Stop()
+	select {
+	case c := <-r.done:
+		return c
+	case <-wait.C:
+		if r.over.CompareAndSwap(false, true) {
+			return nil // the reader throws it away
+		}
+		return <-r.done
+	}
+}
+
+// Release gives the copy's memory back; a nil Copy has none.
+func (c *Copy) Release() {
+	if c != nil {
+		c.Body.Release()
+	}
+}
+
+// Serve tells, at the moment of its answer, whether the copy may still be served
+// as it is. Same says that only its tag is, by a 304.
+func (c *Copy) Serve(same bool) bool {
+	c.shelf.mu.Lock()
+	defer c.shelf.mu.Unlock()
+	return c.shelf.tier.StillServe(c.shelf.now(), c.ref, c.rule, int64(c.Len()), same, false)
+}
+
+// StandIn tells whether the copy, past its fresh time, may be served where the
+// module has no answer.
+func (c *Copy) StandIn(same bool) bool {
+	if !c.standIn {
+		return false
+	}
+	c.shelf.mu.Lock()
+	defer c.shelf.mu.Unlock()
+	return c.shelf.tier.StillServe(c.shelf.now(), c.ref, c.rule, int64(c.Len()), same, true)
+}
+
+// Proven says that a cache server has named the copy's tag as that of the copy
+// it would serve, given out by the origin at issued (Unix milliseconds), and
+// whether the client gets the bytes from here.
+func (c *Copy) Proven(issued int64, served bool) {
+	bytes := int64(0)
+	if served {
+		bytes = int64(c.Len())
+	}
+	c.shelf.mu.Lock()
+	defer c.shelf.mu.Unlock()
+	c.shelf.tier.Proven(c.shelf.now(), c.ref, issued, bytes)
+}
+
+// Keep offers what a read txn was completed with. The body is held until it is
+// written or found not to be worth it.
+func (s *Shelf) Keep(a *Ask, tag string, issued int64, body *buffer.Body) {
+	if !s.ready.Load() {
+		return
+	}
+	ask, known := s.ask(a)
+	if !known || tag == "" || issued <= 0 {
+		return
+	}
+	rec := disk.Record{Issued: issued, Part: a.Part, Rule: a.Rule, Object: a.Object, Tag: tag, Group: a.Group,
+		Body: body.Len()}
+	length := rec.Length()
+	s.mu.Lock()
+	place, reason := s.tier.Offer(s.now(), &tier.Copy{Ask: ask, Issued: issued, Length: length})
+	s.mu.Unlock()
+	if reason != tier.Good {
+		return
+	}
+	rec.Seq = place.Ref.Seq()
+	select {
+	case <-s.stop:
+	case s.writes <- &write{place: place, rec: rec, body: body.Hold(), entry: disk.Entry{Key: place.Key,
+		Object: place.Object, Issued: issued, Seq: rec.Seq, Length: length, Rule: disk.RuleHash(a.Rule),
+		Group: a.Group, Runs: place.Runs}}:
+	}
+}
+
+// Purge takes the purge of an object, or of a group where that is "", made at
+// the given time. Before the folder is open there is nothing that it could bind:
+// what is found there is proven first in any case.
+func (s *Shelf) Purge(object string, group, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tier != nil {
+		s.tier.Purge(s.now(), object, uint8(group), at)
+	}
+}
+
+// Gap says that events of the notice board may have been missed.
+func (s *Shelf) Gap() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tier != nil {
+		s.tier.Gap(s.now())
+	}
+}
+
+// Board tells whether the notice board can be reached.
+func (s *Shelf) Board(lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost = lost; s.tier != nil {
+		s.tier.Board(s.now(), lost)
+	}
+}
+
+// fault tells the tier of one, and logs a change of health once.
+func (s *Shelf) fault(f tier.Fault, err error) tier.Health {
+	s.mu.Lock()
+	h, changed := s.tier.Fault(s.now(), f)
+	s.mu.Unlock()
+	if changed && f != tier.Closed {
+		s.log.WithError(err).WithField("health", h.String()).Error("disk tier: fault of the disk")
+	}
+	return h
+}
+
+// Close writes what waits and ends the use of the folder.
+func (s *Shelf) Close() {
+	close(s.stop)
+	s.done.Wait()
+}
+
+// State is what a shelf tells of itself.
+type State struct {
+	Ready  bool
+	Health tier.Health
+	Counts tier.Counts
+	Size   tier.Size
+	// Reads of the disk, in microseconds.
+	ReadMedian, Read99 int64
+}
+
+// State tells how the shelf stands.
+func (s *Shelf) State() (st State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st.Ready = s.ready.Load()
+	if s.tier != nil {
+		st.Health, st.Counts, st.Size = s.tier.Health(), s.tier.Counts, s.tier.Size()
+	}
+	st.ReadMedian, st.Read99 = s.took.ValueAtQuantile(50), s.took.ValueAtQuantile(99)
+	return st
+}
+
+// Status are the fields of the status line.
+func (s *Shelf) Status() logrus.Fields {
+	st := s.State()
+	looks, offers := int64(0), int64(0)
+	for i := range tier.Reasons {
+		looks += st.Counts.Looks[i]
+		offers += st.Counts.Offers[i]
+	}
+	return logrus.Fields{"ready": st.Ready, "health": st.Health.String(), "parts": st.Size.Parts,
+		"disk_mb": st.Size.Bytes >> 20, "memory_mb": st.Size.Memory >> 20, "looks": looks, "served": st.Counts.Served,
+		"proven": st.Counts.Proven, "stood_in": st.Counts.StoodIn, "offers": offers,
+		"written": st.Counts.Offers[tier.Good], "evicted": st.Counts.Evicted, "purged": st.Counts.PurgedOut,
+		"read_us_median": st.ReadMedian, "read_us_99": st.Read99, "read_faults": st.Counts.ReadFaults}
+}
--- /dev/null
+++ b/internal/shelf/work.go
@@ -0,0 +1,202 @@
+package shelf
+
+import (
+	"sync/atomic"
+	"time"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/disk"
+	"quilldoor/internal/tier"
+)
+
+// read is a part on its way from the disk.
+type read struct {
+	ask   *Ask
+	found tier.Found
+	sure  bool
+	rule  int
+	over  atomic.Bool // nobody waits any more, or the copy was handed over
+	done  chan *Copy
+}
+
+func (s *Shelf) readAll() {
+	for {
+		select {
+		case <-s.stop: // whoever waits yet goes on after its wait
+			return
+		case r := <-s.reads:
+			c := s.read(r)
+			if r.over.CompareAndSwap(false, true) {
+				r.done <- c
+			} else if c != nil {
+				c.Release()
+			}
+		}
+	}
+}
+
+// read reads one part; nil: it is not to be had.
+func (s *Shelf) read(r *read) *Copy {
+	began := time.Now()
+	rec, from, err := s.store.Read(r.found.Runs, r.found.Length)
+	end := tier.Sound
+	var body *buffer.Body
+	if err == nil && rec.Body > 0 {
+		body, err = s.bodies.Read(from, rec.Body)
+	}
+	switch {
+	case err == buffer.ErrFull:
+		end = tier.Unused
+	case err != nil || !from.Sound() || rec.Seq != r.found.Ref.Seq():
+		end = tier.Unsound
+	case rec.Rule != r.ask.Rule || rec.Object != r.ask.Object || rec.Part != r.ask.Part || rec.Group != r.ask.Group:
+		end = tier.Unused
+	}
+	s.mu.Lock()
+	usable, changed := s.tier.Read(s.now(), r.found.Ref, end)
+	s.took.RecordValue(max(time.Since(began).Microseconds(), 1))
+	health := s.tier.Health()
+	s.mu.Unlock()
+	if changed {
+		s.log.WithError(err).WithField("health", health.String()).Error("disk tier: fault of the disk")
+	}
+	if !usable {
+		body.Release()
+		return nil
+	}
+	return &Copy{Body: body, Tag: rec.Tag, Sure: r.sure, shelf: s, ref: r.found.Ref, rule: r.rule,
+		standIn: r.found.StandIn}
+}
+
+// write is a copy on its way to the disk.
+type write struct {
+	place tier.Place
+	rec   disk.Record
+	body  *buffer.Body
+	entry disk.Entry
+}
+
+// batch is what the index has not been told.
+type batch struct {
+	puts  []disk.Entry
+	drops []tier.Drop
+	bytes int
+}
+
+// commitAt is when a batch is synced before its time: longer ones hold reads up.
+const commitAt = 8 << 20
+
+// writeAll is the life of the one goroutine that writes.
+func (s *Shelf) writeAll() {
+	every := time.NewTicker(time.Duration(s.config.Settings.SyncEvery) * time.Microsecond)
+	defer every.Stop()
+	var b batch
+	for open := true; open; {
+		select {
+		case w := <-s.writes:
+			s.write(w, &b)
+			if b.bytes >= commitAt {
+				s.commit(&b)
+			}
+		case <-every.C:
+			s.commit(&b)
+		case <-s.stop:
+			open = false
+		}
+	}
+	for {
+		select {
+		case w := <-s.writes:
+			s.write(w, &b)
+			continue
+		default:
+		}
+		break
+	}
+	s.commit(&b)
+	s.fault(tier.Closed, nil)
+}
+
+func (s *Shelf) write(w *write, b *batch) {
+	defer w.body.Release()
+	s.mu.Lock()
+	wanted := s.tier.Wanted(w.place.Ref) && s.tier.Health() == tier.On
+	s.mu.Unlock()
+	var err error
+	if wanted {
+		err = s.store.Write(w.place.Runs, &w.rec, w.body.Append(nil))
+	}
+	s.mu.Lock()
+	written := s.tier.Written(w.place.Ref, w.entry.Length, wanted && err == nil)
+	s.mu.Unlock()
+	if err != nil {
+		s.fault(faultOf(err), err)
+	}
+	if written {
+		b.puts = append(b.puts, w.entry)
+		b.bytes += w.entry.Length
+	}
+}
+
+func faultOf(err error) tier.Fault {
+	if disk.NoSpace(err) {
+		return tier.NoSpace
+	}
+	return tier.WriteFault
+}
+
+// commit makes a batch last. On a full disk it is kept and tried again; after
+// any other fault nothing more is written.
+func (s *Shelf) commit(b *batch) {
+	s.mu.Lock()
+	now := s.now()
+	s.tier.Housekeep(now)
+	health := s.tier.Health()
+	if health == tier.On {
+		b.drops = append(b.drops, s.tier.Drops()...)
+	}
+	live := s.tier.Size().Parts
+	s.mu.Unlock()
+	if health != tier.On {
+		return
+	}
+	err := s.store.Commit(b.puts, b.drops)
+	if err == nil {
+		*b = batch{puts: b.puts[:0], drops: b.drops[:0]}
+		s.mu.Lock()
+		s.tier.Synced()
+		s.mu.Unlock()
+		if s.store.Stale(live) {
+			err = s.compact()
+		}
+	}
+	if err != nil {
+		s.fault(faultOf(err), err)
+	}
+}
+
+func (s *Shelf) compact() error {
+	began := time.Now()
+	var some []disk.Entry
+	parts := 0
+	err := s.store.Compact(func(tell func(*disk.Entry) error) error {
+		for from := 0; from >= 0; {
+			some = some[:0]
+			s.mu.Lock()
+			from = s.tier.Each(from, func(k tier.Kept) {
+				some = append(some, disk.Entry{Key: k.Key, Object: k.Object, Issued: k.Issued, Seq: k.Seq,
+					Length: k.Length, Rule: disk.RuleHash(s.config.Settings.Rules[k.Rule].Name), Group: k.Group, Runs: k.Runs})
+			})
+			s.mu.Unlock()
+			for i := range some {
+				if err := tell(&some[i]); err != nil {
+					return err
+				}
+			}
+			parts += len(some)
+		}
+		return nil
+	})
+	s.log.WithField("parts", parts).WithField("took_ms", time.Since(began).Milliseconds()).Debug("disk tier: index written anew")
+	return err
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -277,7 +277,7 @@
 	}
 	o := core.Outcome{Code: code, Note: a.Note, Waited: settings.Micros(a.Delay), Load: a.Load}
 	if code == "done" {
-		o.Reply = &Reply{body, a.Tag, a.Word == lines.NoMod}
+		o.Reply = &Reply{body, a.Tag, a.Word == lines.NoMod, a.Issued}
 	} else {
 		body.Release()
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,8 +30,9 @@
 // Reply is an answer's body and tag; it is what a txn is completed with.
 type Reply struct {
 	*buffer.Body
-	Tag  string
-	Same bool // the client's copy is the one
+	Tag    string
+	Same   bool  // the copy whose tag was sent is the one
+	Issued int64 // Unix milliseconds at which the origin gave the copy out; 0: no copy
 }
 
 // Ended is told how hops end.
