--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -1,9 +1,8 @@
-// Command quilldoor is the router: it serves clients, checks a configuration or
-// tells its version.
+// Command quilldoor is the router: it serves clients, checks a configuration,
+// looks into a disk tier's folder or tells its version.
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,100 +11,111 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/spf13/pflag"
+	"github.com/spf13/cobra"
 
 	"quilldoor/internal/board"
 	"quilldoor/internal/config"
+	"quilldoor/internal/operator"
 )
 
-const usage = `Usage: quilldoor [COMMAND] [FLAGS]
-
-Commands:
-  serve     run the router (the default)
-  check     read and check the configuration, then end
-  version   tell the version
-
-Flags:
-`
-
 func main() {
 	// A SIGHUP that comes before the router can reload must not end it.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	err := run(os.Args[1:], hup)
-	if errors.Is(err, pflag.ErrHelp) {
-		return
-	}
-	if err != nil {
+	if err := command(hup).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "quilldoor:", err)
 		os.Exit(1)
 	}
 }
 
-func run(args []string, hup <-chan os.Signal) error {
-	var over config.Overrides
-	flags := pflag.NewFlagSet("quilldoor", pflag.ContinueOnError)
-	flags.StringVarP(&over.File, "config", "c", "", "configuration file (LB_CONFIG)")
-	flags.StringVar(&over.Name, "name", "", "name of the router (LB_NAME)")
-	flags.StringVar(&over.Listen, "listen", "", "address and port for clients (LB_LISTEN)")
-	level := flags.String("log-level", "info", "least level that is logged: error, warning, info or debug")
-	flags.Usage = func() { fmt.Fprint(os.Stderr, usage+flags.FlagUsages()) }
-	if err := flags.Parse(args); err != nil {
-		return err
-	}
-	command := "serve"
-	if flags.NArg() > 0 {
-		command = flags.Arg(0)
-	}
-	if flags.NArg() > 1 {
-		return fmt.Errorf("%s: one command at most", flags.Arg(1))
-	}
-	lv, err := logrus.ParseLevel(*level)
+// flags are those of the commands that read the configuration.
+type flags struct {
+	over                    config.Overrides
+	operator, level, format string
+}
+
+// command is the command line. Without a command the router runs.
+func command(hup <-chan os.Signal) *cobra.Command {
+	var f flags
+	run := func(*cobra.Command, []string) error { return f.serve(hup) }
+	root := &cobra.Command{Use: "quilldoor", Short: "A txn router for edge caches", Args: cobra.NoArgs, RunE: run,
+		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	all := root.PersistentFlags()
+	all.StringVarP(&f.over.File, "config", "c", "", "configuration file (LB_CONFIG)")
+	all.StringVar(&f.operator, "operator", "", "operator's own file (LB_OPERATOR; "+operator.DefaultPath+" where it is there)")
+	all.StringVar(&f.over.Name, "name", "", "name of the router (LB_NAME)")
+	all.StringVar(&f.over.Listen, "listen", "", "address and port for clients (LB_LISTEN)")
+	all.StringVar(&f.level, "log-level", "info", "least level that is logged: error, warning, info or debug")
+	all.StringVar(&f.format, "log-format", "text", "form of the log's lines: text or json")
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Run the router (the default)", Args: cobra.NoArgs, RunE: run},
+		&cobra.Command{Use: "check", Short: "Read and check the configuration and the operator's file, then end",
+			Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+				c, err := f.load()
+				if err == nil {
+					fmt.Println("configuration of", c.Name, "is good")
+				}
+				return err
+			}},
+		&cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
+			Run: func(*cobra.Command, []string) { fmt.Println("quilldoor", version()) }},
+		diskCommand())
+	return root
+}
+
+func (f *flags) serve(hup <-chan os.Signal) error {
+	out := newOutlet(os.Stderr)
+	defer out.flush(time.Second)
+	log, err := f.logger()
 	if err != nil {
-		return fmt.Errorf("--log-level: %w", err)
-	}
-	switch command {
-	case "version":
-		fmt.Println("quilldoor", version())
-		return nil
-	case "serve", "check":
-	default:
-		return fmt.Errorf("%s: no such command", command)
+		return err
 	}
-	load := func() (*config.Config, *board.News, error) { return load(over) }
-	c, known, err := load()
+	log.SetOutput(out)
+	c, err := f.load()
 	if err != nil {
 		return err
 	}
-	if command == "check" {
-		fmt.Println("configuration of", c.Name, "is good")
-		return nil
-	}
-	out := newOutlet(os.Stderr)
-	defer out.flush(time.Second)
-	log := logrus.New()
-	log.SetOutput(out)
-	log.SetLevel(lv)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
-		TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
-	return serve(c, known, log, term, hup, load)
+	return serve(c, log, term, hup, f.load)
+}
+
+func (f *flags) logger() (*logrus.Logger, error) {
+	level, err := logrus.ParseLevel(f.level)
+	if err != nil {
+		return nil, fmt.Errorf("--log-level: %w", err)
+	}
+	const stamp = "2006-01-02T15:04:05.000Z07:00"
+	log := logrus.New()
+	log.SetLevel(level)
+	switch f.format {
+	case "text":
+		log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: stamp})
+	case "json":
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: stamp})
+	default:
+		return nil, fmt.Errorf("--log-format: %q is neither text nor json", f.format)
+	}
+	return log, nil
 }
 
 // load reads and checks the configuration, for the start and for a reload.
-func load(over config.Overrides) (*config.Config, *board.News, error) {
-	c, err := config.Load(over, os.Getenv)
+func (f *flags) load() (*setup, error) {
+	c, err := config.Load(f.over, os.Getenv)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	known := &board.News{}
 	if c.Known != nil {
 		if known, err = board.Parse(c.Known); err != nil {
-			return nil, nil, fmt.Errorf("known: %w", err)
+			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
-	return c, known, nil
+	own, err := operator.Load(f.operator, os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	return &setup{c, known, own}, nil
 }
 
 // version is that of the module, with the commit where the build knows it.
--- /dev/null
+++ b/cmd/quilldoor/publish.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"quilldoor/internal/operator"
+	"quilldoor/internal/tier"
+)
+
+// publish writes the router's figures to a file every so often, in the text form
+// that Prometheus reads.
+func (r *router) publish(ctx context.Context, m *operator.Metrics) {
+	set := metrics.NewSet()
+	every := time.NewTicker(time.Duration(m.EveryS) * time.Second)
+	defer every.Stop()
+	for failed := false; ; {
+		r.collect(set)
+		err := writeFigures(m.File, set)
+		if err != nil && !failed { // told once, until it goes again
+			r.log.WithError(err).Error("metrics not written")
+		}
+		failed = err != nil
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+		}
+	}
+}
+
+// writeFigures puts the file in its place whole or not at all.
+func writeFigures(path string, set *metrics.Set) error {
+	f, err := os.Create(path + ".new")
+	if err != nil {
+		return err
+	}
+	set.WritePrometheus(f)
+	metrics.WriteProcessMetrics(f)
+	if err := f.Close(); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// collect takes the parts' own counts over.
+func (r *router) collect(set *metrics.Set) {
+	gauge := func(v float64, name string, labels ...any) {
+		set.GetOrCreateGauge("quilldoor_"+fmt.Sprintf(name, labels...), nil).Set(v)
+	}
+	count := func(v int64, name string, labels ...any) {
+		set.GetOrCreateCounter("quilldoor_" + fmt.Sprintf(name, labels...)).Set(uint64(v))
+	}
+	txns, servers := r.core.Count()
+	gauge(float64(txns), "txns_open")
+	gauge(float64(servers), "servers_listed")
+	gauge(float64(r.front.Clients()), "clients")
+	gauge(float64(r.up.Count()), "upstream_connections")
+	if r.shelf == nil {
+		return
+	}
+	s := r.shelf.State()
+	for i := range tier.Reasons {
+		count(s.Counts.Looks[i], "disk_looks_total{reason=%q}", tier.Reason(i))
+		count(s.Counts.Offers[i], "disk_offers_total{reason=%q}", tier.Reason(i))
+	}
+	for how, n := range map[string]int64{"fresh": s.Counts.Served - s.Counts.StoodIn, "stood_in": s.Counts.StoodIn,
+		"proven": s.Counts.Proven} {
+		count(n, "disk_served_total{how=%q}", how)
+	}
+	count(s.Counts.BytesOut, "disk_bytes_total{way=%q}", "out")
+	count(s.Counts.BytesIn, "disk_bytes_total{way=%q}", "in")
+	count(s.Counts.Evicted, "disk_gone_total{why=%q}", "evicted")
+	count(s.Counts.PurgedOut, "disk_gone_total{why=%q}", "purged")
+	count(s.Counts.ReadFaults, "disk_read_faults_total")
+	count(s.Counts.Gaps, "disk_gaps_total")
+	for _, h := range []tier.Health{tier.On, tier.Full, tier.ReadsOnly, tier.Off} {
+		gauge(map[bool]float64{true: 1}[s.Health == h], "disk_health{state=%q}", h)
+	}
+	gauge(float64(s.Size.Parts), "disk_parts")
+	gauge(float64(s.Size.Bytes), "disk_slot_bytes")
+	gauge(float64(s.Size.Memory), "disk_memory_bytes")
+	gauge(float64(s.Size.Queued), "disk_queued_bytes")
+	gauge(float64(s.ReadMedian)/1e6, "disk_read_seconds{quantile=%q}", "0.5")
+	gauge(float64(s.Read99)/1e6, "disk_read_seconds{quantile=%q}", "0.99")
+}
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,8 +20,13 @@
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
+	"quilldoor/internal/disk"
 	"quilldoor/internal/front"
+	"quilldoor/internal/operator"
+	"quilldoor/internal/shelf"
+	"quilldoor/internal/tier"
 	"quilldoor/internal/upstream"
+	"quilldoor/logic"
 )
 
 // router holds the parts together and tells them of each other's news.
@@ -28,16 +35,23 @@
 	core  *core.Core
 	up    *upstream.Pool
 	front *front.Front
+	shelf *shelf.Shelf // nil: off
 	limit *config.Limits
 	kick  chan struct{}
 }
 
 func clock() int64 { return time.Now().UnixMicro() }
 
+// setup is all that a router starts with.
+type setup struct {
+	*config.Config
+	known    *board.News
+	operator *operator.Config
+}
+
 // serve runs the router until a signal comes on term. Those on hup make it load
 // the configuration again.
-func serve(c *config.Config, known *board.News, logger *logrus.Logger, term, hup <-chan os.Signal,
-	load func() (*config.Config, *board.News, error)) error {
+func serve(c *setup, logger *logrus.Logger, term, hup <-chan os.Signal, load func() (*setup, error)) error {
 	runtime.GOMAXPROCS(max(int(c.Cores), 1))
 	debug.SetMemoryLimit(c.Limits.Memory)
 	set := c.Settings.Logic()
@@ -55,6 +69,12 @@
 		"rules": len(set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
 
+	if d := c.operator.Disk; d != nil {
+		if err := r.openShelf(c, d, &set, bodies); err != nil {
+			return err
+		}
+		defer r.shelf.Close()
+	}
 	if err := reserve(c.Limits.Sockets); err != nil {
 		r.log.WithError(err).Warn("descriptor table not grown")
 	}
@@ -66,9 +86,12 @@
 	defer stop()
 
 	follower := board.New(c.Limits, r)
-	follower.Apply(known)
+	follower.Apply(c.known)
 	unfollow := follow(ctx, follower, c.Board)
 	go r.attend(ctx)
+	if m := c.operator.Metrics; m != nil {
+		go r.publish(ctx, m)
+	}
 	served := make(chan error, 1)
 	go func() { served <- r.front.Serve(l) }()
 
@@ -80,16 +103,16 @@
 			r.log.WithField("signal", s.String()).Info("shutting down, still accepting")
 			open = false
 		case <-hup:
-			fresh, news, err := load()
+			fresh, err := load()
 			if err != nil {
 				r.log.WithError(err).Error("new configuration refused, the old one stays")
 				continue
 			}
-			for _, key := range c.Fixed(fresh) {
+			for _, key := range append(c.Fixed(fresh.Config), c.operator.Fixed(fresh.operator)...) {
 				r.log.WithField("key", key).Warn("new configuration: takes a restart, the old value stays")
 			}
 			unfollow()
-			follower.Apply(&board.News{Notices: news.Notices})
+			follower.Apply(&board.News{Notices: fresh.known.Notices})
 			unfollow = follow(ctx, follower, fresh.Board)
 			r.log.WithField("board", fresh.Board).Info("new configuration in force")
 		}
@@ -187,6 +210,9 @@
 	r.log.WithFields(logrus.Fields{"txns": txns, "servers": servers, "clients": clients, "late_answers": late,
 		"upstream": r.up.Count(), "goroutines": runtime.NumGoroutine(), "memory_mb": m[0].Value.Uint64() >> 20,
 		"collections": m[1].Value.Uint64(), "timer_late_ms_most": lag.Milliseconds()}).Info("status")
+	if r.shelf != nil {
+		r.log.WithFields(r.shelf.Status()).Info("disk tier status")
+	}
 }
 
 // probe sends one, and counts it as timed out if a connection's time passes.
@@ -223,13 +249,71 @@
 // Purge takes a purge.
 func (r *router) Purge(object string, group, at int64) {
 	r.core.Purge(clock(), object, group, at)
+	if r.shelf != nil {
+		r.shelf.Purge(object, group, at)
+	}
 	r.log.WithFields(logrus.Fields{"object": object, "group": group, "age_ms": (clock() - at) / 1000}).Debug("purge")
 }
 
 // BoardLost tells of the first failed poll in a row.
 func (r *router) BoardLost(err error) {
 	r.log.WithError(err).Warn("notice board lost, the last list stays")
+	if r.shelf != nil {
+		r.shelf.Board(true)
+	}
 }
 
 // BoardBack tells that polls go through again.
-func (r *router) BoardBack() { r.log.Info("notice board back") }
+func (r *router) BoardBack() {
+	r.log.Info("notice board back")
+	if r.shelf != nil {
+		r.shelf.Board(false)
+	}
+}
+
+// BoardGap tells that purges may have been missed.
+func (r *router) BoardGap() {
+	if r.shelf != nil {
+		r.log.Warn("notice board: events are missing, copies on disk are proven again")
+		r.shelf.Gap()
+	}
+}
+
+// openShelf starts the disk tier as the operator's file has it.
+func (r *router) openShelf(c *setup, d *operator.Disk, set *logic.Settings, bodies *buffer.Pool) error {
+	var rules []tier.Rule
+	named := map[string]bool{}
+	for _, k := range set.Rules {
+		// An effect but a safe one, a write, or copies of no told age are never kept.
+		able := k.Effect == "safe" && !k.Write && k.Fresh > 0
+		chosen := slices.Contains(d.Rules, k.Name)
+		if named[k.Name] = true; chosen && !able {
+			return fmt.Errorf("disk.rules: %s writes, is not repeatable or has no fresh time", k.Name)
+		}
+		rules = append(rules, tier.Rule{Name: k.Name, Fresh: k.Fresh, Grace: k.Grace, SLA: k.SLA,
+			Keep: able && (chosen || len(d.Rules) == 0)})
+	}
+	for _, name := range d.Rules {
+		if !named[name] {
+			return fmt.Errorf("disk.rules: %s is no remap rule", name)
+		}
+	}
+	const mb, millis = 1 << 20, 1000
+	r.shelf = shelf.Start(shelf.Config{
+		FS: disk.Dir{Path: d.Path}, Path: d.Path, Super: disk.Super{Slot: d.SlotKB << 10, Seed: rand.Uint64()},
+		ReadWait: time.Duration(d.ReadWaitMS) * time.Millisecond,
+		Settings: tier.Settings{Rules: rules, Slot: d.SlotKB << 10, Slots: d.Slots(), Entries: d.Entries(),
+			WritePerS: int64(d.WriteMBPS) * mb,
+			// Bodies that wait for the disk are the same that txns need: a quarter of them at most.
+			Queue:     min(int64(d.QueueMB)*mb, c.Limits.Held/4),
+			SyncEvery: int64(d.SyncMS) * millis, Reads: d.Reads, Flow: c.Flow, Link: c.Link,
+			Cleared: set.Family.PurgeDone, LongestTx: c.Limits.LongestTxn.Microseconds(),
+			BlindFrom: blindFrom.Microseconds()},
+	}, bodies, r.log)
+	r.front.Use(r.shelf)
+	return nil
+}
+
+// blindFrom is how long the notice board may be lost before copies are proven
+// one by one: a few polls. What it has to tell counts as told after seconds.
+const blindFrom = 2 * time.Second
--- a/cmd/quilldoor/serve_test.go
+++ b/cmd/quilldoor/serve_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"quilldoor/internal/board"
 	"quilldoor/internal/config"
 )
 
@@ -117,8 +116,8 @@
 	  "Classes":[{"Name":"page","Effect":"safe","TargetMs":500,"GiveUpMs":2000,"Value":1},
 	   {"Name":"sign","Effect":"unsafe","TargetMs":500,"GiveUpMs":2000,"Value":1}]}}`
 	r.configure(t, r.text)
-	over := config.Overrides{File: r.path}
-	c, known, err := load(over)
+	f := &flags{over: config.Overrides{File: r.path}}
+	c, err := f.load()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,7 +126,7 @@
 	log.SetOutput(io.Discard)
 	log.AddHook(r)
 	go func() {
-		r.end <- serve(c, known, log, r.term, r.hup, func() (*config.Config, *board.News, error) { return load(over) })
+		r.end <- serve(c, log, r.term, r.hup, f.load)
 	}()
 	t.Cleanup(func() {
 		r.term <- syscall.SIGTERM
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
 	"quilldoor/internal/http1"
+	"quilldoor/internal/shelf"
 	"quilldoor/internal/upstream"
 )
 
@@ -24,6 +25,7 @@
 	up       *upstream.Pool
 	bodies   *buffer.Pool
 	limits   *config.Limits
+	shelf    *shelf.Shelf // nil: no copies of its own
 	late     atomic.Int64 // answers after their time limits
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -42,6 +44,9 @@
 	return f
 }
 
+// Use makes the front answer from a shelf what it can, before it serves.
+func (f *Front) Use(s *shelf.Shelf) { f.shelf = s }
+
 // Ready lets the health check pass; true: it did not before.
 func (f *Front) Ready() bool { return f.ready.CompareAndSwap(false, true) }
 
@@ -133,6 +138,13 @@
 	return len(f.clients), f.late.Swap(0)
 }
 
+// Clients tells how many clients there are.
+func (f *Front) Clients() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.clients)
+}
+
 // client is a connection.
 type client struct {
 	net.Conn
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -12,6 +12,7 @@
 	"quilldoor/internal/core"
 	"quilldoor/internal/http1"
 	"quilldoor/internal/lines"
+	"quilldoor/internal/shelf"
 	"quilldoor/internal/upstream"
 	"quilldoor/logic"
 )
@@ -92,6 +93,15 @@
 // leaves; what it decides comes to the mailbox. False: the connection must end.
 func (f *Front) txn(c *client, a *ask, last bool) bool {
 	limit := a.first.Add(a.ttl)
+	kept, served := f.fromShelf(a, limit)
+	defer kept.Release()
+	if served {
+		return f.give(c, kept, a, limit, last)
+	}
+	tag := a.tag
+	if kept != nil && tag == "" {
+		tag = kept.Tag // its proof spares the bytes their way
+	}
 	now := time.Now()
 	a.event.Remaining = limit.Sub(now).Microseconds()
 	if a.event.Remaining <= 0 { // it waited in our buffers for all of its time
@@ -117,7 +127,7 @@
 			switch o.Kind {
 			case core.Send:
 				flight := &upstream.Flight{Hop: o.Hop, Class: a.event.Rule, Object: a.event.Object,
-					Part: a.event.Part, Tag: a.tag, Body: a.body, Write: a.event.Write}
+					Part: a.event.Part, Tag: tag, Body: a.body, Write: a.event.Write}
 				o.Hop.Carrier = flight
 				f.up.Send(flight)
 			case core.Drop:
@@ -139,6 +149,12 @@
 			if time.Since(limit) > f.limits.ReplySlack/2 {
 				f.late.Add(1)
 			}
+			if f.shelf != nil {
+				if out := f.settle(a, kept, tag, final, limit); out != nil {
+					f.leave(*final)
+					return f.give(c, out, a, limit, last)
+				}
+			}
 			return f.answer(c, final, limit, last)
 		}
 		if here = f.wait(c, arrived); !here {
@@ -147,6 +163,64 @@
 	}
 }
 
+// fromShelf looks for a copy of the router's own, and tells whether that is the
+// answer. Else the module decides as ever, and a copy may be proven or stand in.
+func (f *Front) fromShelf(a *ask, limit time.Time) (kept *shelf.Copy, served bool) {
+	if f.shelf == nil || a.event.Write {
+		return nil, false
+	}
+	kept = f.shelf.Get(a.onShelf(limit))
+	if kept == nil || !kept.Sure {
+		return kept, false
+	}
+	now := time.Now()
+	if !now.Before(limit) || !kept.Serve(a.tag == kept.Tag) { // a purge came while it was read
+		kept.Release()
+		return nil, false
+	}
+	f.core.Kept(now.UnixMicro(), a.event)
+	return kept, true
+}
+
+func (a *ask) onShelf(limit time.Time) *shelf.Ask {
+	return &shelf.Ask{Rule: a.event.Rule, Object: a.event.Object, Part: a.event.Part, Group: uint8(a.event.Group),
+		Left: time.Until(limit)}
+}
+
+// settle does what the module's final order means for the router's own copies:
+// bytes are offered to the shelf, a copy is proven, or stands in for no answer.
+// It returns the copy that is to be given in place of what the order says.
+func (f *Front) settle(a *ask, kept *shelf.Copy, tag string, final *core.Order, limit time.Time) *shelf.Copy {
+	if final.Kind != core.Completed {
+		if kept != nil && time.Now().Before(limit) && kept.StandIn(a.tag == kept.Tag) {
+			return kept
+		}
+		return nil
+	}
+	r := final.Reply.(*upstream.Reply)
+	switch {
+	case !r.Same && !a.event.Write:
+		f.shelf.Keep(a.onShelf(limit), r.Tag, r.Issued, r.Body)
+	case kept != nil && r.Same && tag == kept.Tag && r.Tag == tag:
+		kept.Proven(r.Issued, a.tag == "")
+		if a.tag == "" {
+			return kept
+		}
+	case r.Same && a.tag == "": // of another tag than was sent: nothing that the client could use
+		r.Release()
+		*final = core.Order{Kind: core.Aborted}
+	}
+	return nil
+}
+
+// give answers with a copy of the router's own.
+func (f *Front) give(c *client, kept *shelf.Copy, a *ask, limit time.Time, last bool) bool {
+	if a.tag == kept.Tag {
+		return f.copied(c, 304, kept.Tag, nil, limit, last)
+	}
+	return f.copied(c, 200, kept.Tag, kept.Body, limit, last)
+}
+
 // leave does what is left to do of an order that nobody waits for.
 func (f *Front) leave(o core.Order) {
 	if o.Kind == core.Drop {
@@ -187,27 +261,35 @@
 
 // answer writes the final answer.
 func (f *Front) answer(c *client, o *core.Order, limit time.Time, last bool) bool {
-	status, length := 504, 0
-	var fields []http1.Field
-	bufs := net.Buffers{nil}
 	switch o.Kind {
-	case core.Rejected:
-		status = 503
-		if o.Stay > 0 {
-			fields = append(fields, http1.Field{Name: "X-Throttle-Ms", Value: strconv.FormatInt(o.Stay/1000, 10)})
-		}
 	case core.Completed:
 		r := o.Reply.(*upstream.Reply)
 		defer r.Release()
-		if status = 200; r.Same {
+		status := 200
+		if r.Same {
 			status = 304
 		}
-		length = r.Len()
-		bufs = r.Append(bufs)
-		if r.Tag != "" {
-			fields = append(fields, http1.Field{Name: "ETag", Value: `"` + r.Tag + `"`})
+		return f.copied(c, status, r.Tag, r.Body, limit, last)
+	case core.Rejected:
+		if o.Stay > 0 {
+			return f.final(c, 503, nil, limit, last,
+				http1.Field{Name: "X-Throttle-Ms", Value: strconv.FormatInt(o.Stay/1000, 10)})
 		}
+		return f.final(c, 503, nil, limit, last)
 	}
-	bufs[0] = http1.AppendResponse(nil, status, length, last, fields...)
+	return f.final(c, 504, nil, limit, last)
+}
+
+// copied answers with a copy and its tag.
+func (f *Front) copied(c *client, status int, tag string, body *buffer.Body, limit time.Time, last bool) bool {
+	if tag == "" {
+		return f.final(c, status, body, limit, last)
+	}
+	return f.final(c, status, body, limit, last, http1.Field{Name: "ETag", Value: `"` + tag + `"`})
+}
+
+func (f *Front) final(c *client, status int, body *buffer.Body, limit time.Time, last bool, fields ...http1.Field) bool {
+	bufs := body.Append(net.Buffers{nil})
+	bufs[0] = http1.AppendResponse(nil, status, body.Len(), last, fields...)
 	return f.write(c, limit.Add(f.limits.ReplySlack), bufs...) == nil
 }
