Test the disk tier: crash matrix, faults, spoilt bytes, bounds

Need: the tier is state and recovery; it is worth what its tests can break. Found by it: a first start killed between two steps could not start again (store.new removed twice). The doorkeeper is cleared by itself when full: at 9,000 objects wanted once 994 of 1,000 new ones passed it.

--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -63,6 +63,9 @@
 		if err := s.create(names); err != nil {
 			return nil, err
 		}
+		if names, err = s.fs.List(); err != nil { // its first try may have left a file behind
+			return nil, err
+		}
 	}
 	told := s.super.Slot
 	if s.super, err = readSuper(s.fs); err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -214,7 +214,7 @@
 // powers of two half empty at worst.
 const (
 	slotBytes    = 33.0 / 8
-	partBytes    = 64 + 16 + 5
+	partBytes    = 64 + 16 + 8
 	leastEntries = 256
 )
 
--- /dev/null
+++ b/internal/shelf/crash_test.go
@@ -0,0 +1,270 @@
+package shelf
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/crashfs"
+	"quilldoor/internal/disk"
+	"quilldoor/internal/tier"
+)
+
+// tb is what a test and a check by rapid have in common.
+type tb interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+const ms, second = int64(1000), int64(1_000_000)
+
+// bench is a shelf whose goroutines the test stands in for, step by step, and
+// the independent book of what it did.
+type bench struct {
+	*Shelf
+	fs    *crashfs.FS
+	now   int64
+	batch batch
+
+	content map[uint64][]byte // by number of a record: what was written under it
+	version map[string]int64  // by object: issue of the latest copy at the origin
+	synced  []mark
+}
+
+// mark is what was synced when so many steps of the history were done.
+type mark struct {
+	steps int
+	kept  map[uint64]bool // by number
+}
+
+func settings() tier.Settings {
+	return tier.Settings{Rules: []tier.Rule{{Name: "page", Fresh: 60 * second, Grace: 60 * second, SLA: second, Keep: true},
+		{Name: "sign", SLA: second}}, Slot: disk.LeastSlot, Slots: 64, Entries: 64, WritePerS: 16 << 10, Queue: 1 << 20,
+		SyncEvery: second, Reads: 8, Cleared: 6 * second, LongestTx: 2 * second, BlindFrom: 2 * second}
+}
+
+func newBench(t tb, fs *crashfs.FS, now int64) *bench {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b := &bench{fs: fs, now: now, content: map[uint64][]byte{}, version: map[string]int64{}}
+	b.Shelf = plain(Config{FS: fs, Super: disk.Super{Slot: disk.LeastSlot, Seed: 7}, Settings: settings(),
+		Clock: func() (int64, int64) { return b.now, b.now }}, buffer.NewPool(1<<20), log.WithField("t", 1))
+	if !b.recover() {
+		t.Fatal("not recovered")
+	}
+	return b
+}
+
+// keep offers a copy; it is as good as any other of the object at that issue.
+func (b *bench) keep(object string, part int64, size int) {
+	a := &Ask{Rule: "page", Object: object, Part: part, Group: uint8(len(object)), Left: 1e9}
+	issued := b.now / ms
+	content := bytes.Repeat(fmt.Appendf(nil, "%s/%d@%d ", object, part, issued), size/10+1)[:size]
+	body, _ := b.bodies.Read(bytes.NewReader(content), size)
+	ask, _ := b.ask(a)
+	b.tier.Look(b.now, &ask) // wanted twice, so that it is worth a write
+	b.tier.Look(b.now, &ask)
+	b.Keep(a, fmt.Sprintf("tag%d", issued), issued, body)
+	body.Release()
+	b.version[object] = issued
+	for len(b.writes) > 0 {
+		w := <-b.writes
+		b.content[w.rec.Seq] = content
+		b.write(w, &b.batch)
+	}
+}
+
+// sync commits, and notes what lasts from here on.
+func (b *bench) sync() {
+	b.commit(&b.batch)
+	m := mark{steps: b.fs.Len(), kept: map[uint64]bool{}}
+	for from := 0; from >= 0; {
+		from = b.tier.Each(from, func(k tier.Kept) { m.kept[k.Seq] = true })
+	}
+	b.synced = append(b.synced, m)
+}
+
+// drive takes random steps.
+func (b *bench) drive(n int, draw func(int) int) {
+	for range n {
+		b.now += int64(draw(1500)) * ms
+		object := fmt.Sprintf("%*d", 1+draw(3), draw(6))
+		switch draw(10) {
+		case 0:
+			b.Purge(object, 0, b.now)
+		case 1:
+			b.Purge("", int64(1+draw(3)), b.now)
+		case 2, 3:
+			b.sync()
+		case 4: // an index is written anew long before it would be
+			b.sync()
+			if b.Shelf.compact() == nil {
+				b.sync()
+			}
+		default:
+			b.keep(object, int64(draw(4)), 1+draw(4000))
+		}
+	}
+}
+
+// broken counts what must never be.
+type broken struct{ torn, stale, lost int }
+
+// judge recovers a state that a crash after so many steps left, and compares it
+// with the book. Dropped names records that gave way by some decision up to then.
+func (b *bench) judge(t tb, fs *crashfs.FS, steps int, later *bench) (out broken) {
+	t.Helper()
+	*later = *newBench(t, fs, b.now+1000*ms)
+	found := map[uint64]bool{}
+	for from := 0; from >= 0; {
+		from = later.tier.Each(from, func(k tier.Kept) {
+			found[k.Seq] = true
+			rec, r, err := later.store.Read(k.Runs, k.Length)
+			if err == nil {
+				var body []byte
+				body, err = io.ReadAll(r)
+				if err == nil && (!r.Sound() || rec.Seq != k.Seq || !bytes.Equal(body, b.content[k.Seq])) {
+					err = disk.ErrRecord
+				}
+			}
+			if err != nil {
+				out.torn++
+			}
+			// Nothing that was found is served before it is proven.
+			ask := tier.Ask{Rule: 0, Object: rec.Object, Part: rec.Part, Group: rec.Group, Left: second}
+			if v, _ := later.tier.Look(later.now, &ask); v == tier.Serve {
+				out.stale++
+			} else if v == tier.Prove {
+				later.tier.Read(later.now, tier.Ref{}, tier.Unused)
+			}
+		})
+	}
+	// What the last sync before held is there, unless it had given way by the next:
+	// that one's drops may have come to the disk.
+	for i, m := range b.synced {
+		if m.steps > steps || i+1 < len(b.synced) && b.synced[i+1].steps <= steps {
+			continue
+		}
+		for seq := range m.kept {
+			if next := b.after(i); !found[seq] && next[seq] {
+				out.lost++
+			}
+		}
+	}
+	later.synced = []mark{{kept: found}}
+	for seq := range b.content {
+		later.content[seq] = b.content[seq]
+	}
+	return out
+}
+
+// after is what was kept at the sync behind the i-th, or is now.
+func (b *bench) after(i int) map[uint64]bool {
+	if i+1 < len(b.synced) {
+		return b.synced[i+1].kept
+	}
+	now := map[uint64]bool{}
+	for from := 0; from >= 0; {
+		from = b.tier.Each(from, func(k tier.Kept) { now[k.Seq] = true })
+	}
+	return now
+}
+
+// crashes judges every prefix of a history: the process killed there, with the
+// next write cut at several places, and the power lost there, with every subset
+// of few unsynced steps lost, or drawn ones of many, whole and by sectors.
+func (b *bench) crashes(t tb, from int, r *rand.Rand, many int) (states int, out broken) {
+	t.Helper()
+	count := func(fs *crashfs.FS, steps int) {
+		var later bench
+		states++
+		x := b.judge(t, fs, steps, &later)
+		out.torn, out.stale, out.lost = out.torn+x.torn, out.stale+x.stale, out.lost+x.lost
+	}
+	for n := from; n <= b.fs.Len(); n++ {
+		for _, cut := range []int{0, 1, 63, 64, 100, 700} {
+			count(b.fs.Killed(n, cut), n)
+		}
+		open := b.fs.Unsynced(n)
+		if len(open) <= 4 {
+			for mask := 1; mask < 1<<len(open); mask++ {
+				var lost []int
+				for i, at := range open {
+					if mask>>i&1 == 1 {
+						lost = append(lost, at)
+					}
+				}
+				count(b.fs.Lost(n, lost, nil), n)
+			}
+			continue
+		}
+		for range many {
+			var lost []int
+			for _, at := range open {
+				if r.IntN(2) == 0 {
+					lost = append(lost, at)
+				}
+			}
+			count(b.fs.Lost(n, lost, nil), n)
+			count(b.fs.Lost(n, nil, r), n)
+		}
+	}
+	return states, out
+}
+
+func TestCrashAtEveryStepLosesNothingSyncedAndTearsNothing(t *testing.T) {
+	const histories, steps = 12, 40
+	states := 0
+	for seed := range uint64(histories) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		b := newBench(t, crashfs.New(), 1_000_000*second)
+		b.drive(steps, r.IntN)
+		n, x := b.crashes(t, 0, r, 3)
+		states += n
+		if x != (broken{}) {
+			t.Fatalf("seed %d: %+v in %d states", seed, x, n)
+		}
+	}
+	t.Logf("%d states judged, 0 torn, stale or lost", states)
+}
+
+// After a crash and recovery the store is as good as before: it goes on, and
+// crashes again.
+func TestCrashAfterCrash(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "n") }
+		r := rand.New(rand.NewPCG(uint64(draw(1<<30)), 2))
+		b := newBench(t, crashfs.New(), 1_000_000*second)
+		b.drive(15, draw)
+		for range 3 {
+			n := draw(b.fs.Len() + 1)
+			fs := b.fs.Killed(n, draw(800))
+			if draw(2) == 0 {
+				fs = b.fs.Lost(n, nil, r)
+			}
+			var later bench
+			if x := b.judge(rt, fs, n, &later); x != (broken{}) {
+				rt.Fatalf("%+v", x)
+			}
+			b = &later
+			b.drive(10, draw)
+		}
+	})
+}
+
+// The same cases at every run; a failure is printed, not kept in a file.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -52,6 +52,17 @@
 // Start begins to open the folder and returns at once. Until recovery is over
 // nothing is found and nothing is kept.
 func Start(config Config, bodies *buffer.Pool, log *logrus.Entry) *Shelf {
+	s := plain(config, bodies, log)
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		s.run()
+	}()
+	return s
+}
+
+// plain makes a shelf that does nothing by itself.
+func plain(config Config, bodies *buffer.Pool, log *logrus.Entry) *Shelf {
 	if config.Clock == nil {
 		start := time.Now()
 		config.Clock = func() (wall, steady int64) {
@@ -68,11 +79,6 @@
 	for i, r := range config.Settings.Rules {
 		s.rules[r.Name] = i
 	}
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.run()
-	}()
 	return s
 }
 
--- /dev/null
+++ b/internal/shelf/shelf_test.go
@@ -0,0 +1,421 @@
+package shelf
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/crashfs"
+	"quilldoor/internal/disk"
+	"quilldoor/internal/tier"
+)
+
+// running starts a shelf with its goroutines and a clock that the test moves.
+func running(t *testing.T, fs disk.FS, now *atomic.Int64, change func(*Config)) (*Shelf, *logtest.Hook) {
+	t.Helper()
+	log, hook := logtest.NewNullLogger()
+	set := settings()
+	set.SyncEvery = 5 * ms
+	set.WritePerS = 1 << 30
+	c := Config{FS: fs, Super: disk.Super{Slot: set.Slot, Seed: 7}, Settings: set, ReadWait: 2 * time.Second,
+		Clock: func() (int64, int64) { return now.Load(), now.Load() }}
+	if change != nil {
+		change(&c)
+	}
+	s := Start(c, buffer.NewPool(1<<20), log.WithField("t", 1))
+	t.Cleanup(func() {
+		select {
+		case <-s.stop:
+		default:
+			s.Close()
+		}
+	})
+	return s, hook
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 5000 {
+		if ok() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal(what, "has not come")
+}
+
+func ask(object string) *Ask {
+	return &Ask{Rule: "page", Object: object, Part: 1, Left: 4 * time.Second}
+}
+
+// keep offers a copy until it is kept.
+func keep(t *testing.T, s *Shelf, now int64, object, content string) {
+	t.Helper()
+	until(t, "recovery", s.ready.Load)
+	s.Get(ask(object))
+	s.Get(ask(object))
+	body, _ := s.bodies.Read(strings.NewReader(content), len(content))
+	defer body.Release()
+	s.Keep(ask(object), "tag-"+object, now/ms, body)
+	until(t, "the write of "+object, func() bool { return s.State().Size.Queued == 0 })
+}
+
+func content(c *Copy) string {
+	if c == nil {
+		return "none"
+	}
+	return string(bytes.Join(c.Append(nil), nil))
+}
+
+func clockAt(at int64) *atomic.Int64 {
+	var now atomic.Int64
+	now.Store(at)
+	return &now
+}
+
+func TestKeepAndGet(t *testing.T) {
+	now := clockAt(1000 * second)
+	fs := crashfs.New()
+	s, _ := running(t, fs, now, nil)
+	until(t, "recovery", s.ready.Load)
+	now.Add(second)
+	long := strings.Repeat("0123456789", 300)
+	keep(t, s, now.Load(), "x", long)
+	c := s.Get(ask("x"))
+	if content(c) != long || c.Tag != "tag-x" || !c.Sure || !c.Serve(false) {
+		t.Fatalf("%.20q", content(c))
+	}
+	s.Purge("x", 0, now.Load())
+	if c.Serve(false) {
+		t.Fatal("purged since it was read, and served")
+	}
+	c.Release()
+	if s.Get(ask("x")) != nil || s.Get(ask("y")) != nil || s.Get(&Ask{Rule: "none"}) != nil {
+		t.Fatal("what isn't there was found")
+	}
+	keep(t, s, now.Add(second), "x", "second")
+	s.Close()
+	// Restarted, what is found is proven before it is served, and good after.
+	s, _ = running(t, fs, now, nil)
+	until(t, "recovery", s.ready.Load)
+	c = s.Get(ask("x"))
+	if content(c) != "second" || c.Sure || c.Serve(false) || c.StandIn(false) {
+		t.Fatalf("%q, sure %v", content(c), c != nil && c.Sure)
+	}
+	c.Proven(now.Add(second)/ms, true)
+	c.Release()
+	if c = s.Get(ask("x")); content(c) != "second" || !c.Sure {
+		t.Fatal("proven, and not sure")
+	}
+	c.Release()
+	// Past its fresh time it may stand in, until its grace is over.
+	now.Add(70 * second)
+	if c = s.Get(ask("x")); c == nil || c.Sure || !c.StandIn(false) {
+		t.Fatal("doesn't stand in within its grace")
+	}
+	now.Add(60 * second)
+	if c.StandIn(false) {
+		t.Fatal("stands in past its grace")
+	}
+	c.Release()
+}
+
+// A jump of the clock, either way, ends all certainty.
+func TestClockJump(t *testing.T) {
+	now, steady := clockAt(1000*second), clockAt(0)
+	s, hook := running(t, crashfs.New(), now, func(c *Config) {
+		c.Clock = func() (int64, int64) { return now.Load(), steady.Load() }
+	})
+	until(t, "recovery", s.ready.Load)
+	now.Add(second)
+	steady.Add(second)
+	keep(t, s, now.Load(), "x", "old")
+	now.Add(-30 * second)
+	c := s.Get(ask("x"))
+	if c == nil || c.Sure {
+		t.Fatal("a copy of an age that nobody knows is sure")
+	}
+	c.Release()
+	if e := hook.LastEntry(); e == nil || !strings.Contains(e.Message, "clock") {
+		t.Fatal("not logged")
+	}
+}
+
+func TestWhatFoldersSay(t *testing.T) {
+	super := disk.Super{Slot: disk.LeastSlot, Seed: 1}
+	made := func() *crashfs.FS {
+		fs := crashfs.New()
+		s, _, err := disk.Open(fs, super, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		return fs
+	}
+	newer := made()
+	newer.Bytes("store")[16] = 9
+	flipped := made()
+	flipped.Bytes("store")[24] ^= 1
+	foreign, photos := crashfs.New(), crashfs.New()
+	foreign.Put("store", []byte("something else of other people's"))
+	photos.Put("cat.jpg", nil)
+	used := made()
+	used.Lock("lock")
+	other := made()
+	for name, c := range map[string]struct {
+		fs   *crashfs.FS
+		want error
+		slot int
+	}{"newer": {newer, disk.ErrNewer, super.Slot}, "flipped": {flipped, disk.ErrBroken, super.Slot},
+		"foreign": {foreign, disk.ErrForeign, super.Slot}, "photos": {photos, disk.ErrForeign, super.Slot},
+		"in use": {used, disk.ErrInUse, super.Slot}, "other slots": {other, disk.ErrBroken, 2 * super.Slot}} {
+		s, hook := running(t, c.fs, clockAt(second), func(k *Config) { k.Super.Slot = c.slot })
+		s.done.Wait()
+		if len(hook.AllEntries()) != 1 || hook.LastEntry().Level != logrus.ErrorLevel ||
+			!errors.Is(hook.LastEntry().Data["error"].(error), c.want) {
+			t.Errorf("%s: %v, want one line with %v", name, hook.AllEntries(), c.want)
+		}
+		body, _ := s.bodies.Read(strings.NewReader("x"), 1)
+		s.Keep(ask("x"), "t", 1, body)
+		s.Purge("x", 0, 1)
+		if s.Get(ask("x")) != nil {
+			t.Errorf("%s: something was found", name)
+		}
+		s.Close()
+	}
+}
+
+// Faults of the disk: one log line, the right state, and nobody is held up.
+func TestFaultsOfTheDisk(t *testing.T) {
+	for name, c := range map[string]struct {
+		op     crashfs.Op
+		part   int
+		err    error
+		health tier.Health
+		found  bool // what was written before can still be read
+	}{
+		"no space":             {crashfs.Write, 0, syscall.ENOSPC, tier.Full, true},
+		"no space within":      {crashfs.Write, 100, syscall.ENOSPC, tier.Full, true},
+		"quota":                {crashfs.Write, 0, syscall.EDQUOT, tier.Full, true},
+		"write fails":          {crashfs.Write, 0, syscall.EIO, tier.ReadsOnly, true},
+		"short write":          {crashfs.Write, 100, nil, tier.ReadsOnly, true},
+		"sync fails":           {crashfs.Sync, 0, syscall.EIO, tier.ReadsOnly, true},
+		"reads fail":           {crashfs.Read, 0, syscall.EIO, tier.Off, false},
+		"reads and disk is on": {crashfs.SyncDir, 0, syscall.EIO, tier.On, true}, // nothing needs one now
+	} {
+		now := clockAt(1000 * second)
+		fs := crashfs.New()
+		s, hook := running(t, fs, now, nil)
+		until(t, "recovery", s.ready.Load)
+		now.Add(second)
+		for i := range 10 {
+			keep(t, s, now.Load(), fmt.Sprint("before", i), "whole")
+		}
+		time.Sleep(20 * time.Millisecond) // four syncs
+		hook.Reset()
+		var failing atomic.Bool
+		failing.Store(true)
+		fs.Break(func(op crashfs.Op, _ string, _ int) (*int, error) {
+			if op != c.op || !failing.Load() {
+				return nil, nil
+			}
+			if c.part > 0 {
+				return &c.part, c.err
+			}
+			return nil, c.err
+		})
+		for i := range 10 {
+			s.Get(ask(fmt.Sprint("before", i))).Release()
+			keep(t, s, now.Load(), fmt.Sprint("after", i), strings.Repeat("x", 200))
+		}
+		until(t, name+": the state", func() bool { return s.State().Health == c.health })
+		errs := 0
+		for _, e := range hook.AllEntries() {
+			if e.Level == logrus.ErrorLevel {
+				errs++
+			}
+		}
+		if want := map[bool]int{true: 1}[c.health != tier.On]; errs != want {
+			t.Errorf("%s: %d error lines, want %d", name, errs, want)
+		}
+		got := s.Get(ask("before9"))
+		if (content(got) == "whole") != c.found {
+			t.Errorf("%s: read %q", name, content(got))
+		}
+		got.Release()
+		if c.health == tier.Full { // and it comes back with the space
+			failing.Store(false)
+			now.Add(31 * second)
+			keep(t, s, now.Load(), "again", "new")
+			until(t, name+": a write", func() bool { got = s.Get(ask("again")); return got != nil })
+			got.Release()
+		}
+		s.Close()
+		fs.Break(nil)
+		s, _ = running(t, fs, now, nil) // whatever it was, a restart finds a sound store
+		until(t, "recovery", s.ready.Load)
+		if r, err := disk.Look(fs, true); err != nil || !r.Sound() || r.Parts < 9 {
+			t.Errorf("%s: %+v, %v", name, r, err)
+		}
+		s.Close()
+	}
+}
+
+// A disk that hangs holds no txn up for longer than it may wait, and takes no
+// more than its bounds of memory.
+func TestHangingDisk(t *testing.T) {
+	now := clockAt(1000 * second)
+	fs := crashfs.New()
+	s, _ := running(t, fs, now, func(c *Config) { c.ReadWait = 10 * time.Millisecond })
+	until(t, "recovery", s.ready.Load)
+	now.Add(second)
+	keep(t, s, now.Load(), "x", "whole")
+	hang := make(chan struct{})
+	fs.Break(func(op crashfs.Op, _ string, _ int) (*int, error) {
+		if op == crashfs.Read {
+			<-hang
+		}
+		return nil, nil
+	})
+	began := time.Now()
+	for range 30 {
+		if s.Get(ask("x")) != nil {
+			t.Fatal("read from a disk that hangs")
+		}
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Fatalf("held up for %v", took)
+	}
+	if n := s.State().Size.Reading; n != s.config.Settings.Reads {
+		t.Fatalf("%d reads out, %d at most", n, s.config.Settings.Reads)
+	}
+	fs.Break(nil)
+	close(hang)
+	until(t, "the end of the reads", func() bool { return s.State().Size.Reading == 0 })
+	c := s.Get(ask("x"))
+	if content(c) != "whole" {
+		t.Fatal(content(c))
+	}
+	c.Release()
+}
+
+// Bytes are flipped, cut and written over at random in the data and the index:
+// what comes back is what was written, or nothing.
+func TestSpoiltStoreServesNothingWrong(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 3))
+	served, caught := 0, 0
+	for range 60 {
+		b := newBench(t, crashfs.New(), 1000*second)
+		b.drive(20, r.IntN)
+		b.sync()
+		fs := b.fs.Killed(b.fs.Len(), 0)
+		names, _ := fs.List()
+		for range 1 + r.IntN(4) {
+			name := names[r.IntN(len(names))]
+			if bytes := fs.Bytes(name); name != "store" && len(bytes) > 0 {
+				switch at := r.IntN(len(bytes)); r.IntN(3) {
+				case 0:
+					bytes[at] ^= 1 << r.IntN(8)
+				case 1:
+					clear(bytes[at:min(at+600, len(bytes))])
+				case 2:
+					f, _ := fs.Open(name, false)
+					f.Truncate(int64(at))
+				}
+			}
+		}
+		later := newBench(t, fs, b.now+second)
+		for from := 0; from >= 0; {
+			from = later.tier.Each(from, func(k tier.Kept) {
+				rec, reader, err := later.store.Read(k.Runs, k.Length)
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(reader)
+				}
+				if err != nil || !reader.Sound() || rec.Seq != k.Seq {
+					caught++
+					return
+				}
+				if served++; !bytes.Equal(body, b.content[rec.Seq]) {
+					t.Errorf("record %d is not what was written", rec.Seq)
+				}
+			})
+		}
+		later.drive(10, r.IntN) // and it goes on
+	}
+	if served < 100 || caught < 20 {
+		t.Fatalf("%d served, %d caught: too few to tell anything", served, caught)
+	}
+}
+
+// Answers of rules that write or may not be repeated never come to the disk.
+func TestForbiddenAnswersNeverReachTheDisk(t *testing.T) {
+	fs := crashfs.New()
+	b := newBench(t, fs, 1000*second)
+	for range 5 {
+		a := &Ask{Rule: "sign", Object: "contract", Left: time.Second}
+		if b.Get(a) != nil {
+			t.Fatal("found")
+		}
+		body, _ := b.bodies.Read(strings.NewReader("SECRET-ACCEPTANCE"), 17)
+		b.Keep(a, "tag", b.now/ms, body)
+		b.keep("page", 0, 500)
+		b.sync()
+	}
+	names, _ := fs.List()
+	all := []byte{}
+	for _, n := range names {
+		all = append(all, fs.Bytes(n)...)
+	}
+	if !bytes.Contains(all, []byte("page/0@")) {
+		t.Fatal("the page is not there either: the test looks in the wrong place")
+	}
+	for _, word := range []string{"SECRET", "contract", "sign"} {
+		if bytes.Contains(all, []byte(word)) {
+			t.Errorf("%q is on the disk", word)
+		}
+	}
+}
+
+// The buffers of a write are given back, whatever becomes of it.
+func TestNoBufferIsLost(t *testing.T) {
+	now := clockAt(1000 * second)
+	s, _ := running(t, crashfs.New(), now, func(c *Config) { c.Settings.Queue = 3 << 10 })
+	until(t, "recovery", s.ready.Load)
+	for i := range 300 {
+		a := ask(fmt.Sprint(i % 7))
+		if c := s.Get(a); c != nil {
+			c.Serve(false)
+			c.Release()
+		}
+		if body, err := s.bodies.Read(strings.NewReader(strings.Repeat("x", 3000)), 3000); err == nil {
+			s.Keep(a, "t", now.Add(200*ms)/ms, body)
+			body.Release()
+		}
+		if i%50 == 0 {
+			s.Purge(a.Object, 0, now.Load())
+		}
+	}
+	s.Close()
+	held := 0
+	for { // a pool of 1 MB has 128 buffers
+		if _, err := s.bodies.Read(strings.NewReader("x"), 1); err != nil {
+			break
+		}
+		held++
+	}
+	if held != 128 {
+		t.Fatalf("%d buffers left of 128", held)
+	}
+}
--- a/internal/tier/sketch.go
+++ b/internal/tier/sketch.go
@@ -4,11 +4,17 @@
 // rows of 4-bit counters of which only the minimal ones rise, a doorkeeper Bloom
 // filter that takes a first appearance, and a reset that halves all of it. The
 // module's own has a size fixed at build time for some thousand objects; this
-// one is sized by the disk. It takes 2.5 bytes a counter.
+// one is sized by the disk. It takes four bytes for each part that it is made for,
+// up to eight where that lies just above a power of two.
+//
+// The paper clears the doorkeeper with the reset only. Ten times the cache's size
+// of objects wanted once would fill any that is worth its memory, and all would
+// pass it; so this one is cleared by itself, too, when it has taken doorFull.
 type sketch struct {
 	rows   [4][]uint64
 	door   []uint64
 	mask   uint64
+	inside int // taken by the doorkeeper since it was cleared
 	sample int
 	most   int // sample size: the reset comes when it is reached
 }
@@ -19,6 +25,9 @@
 	// would forget what is wanted once in a while, and a disk is there for that.
 	sampleFactor = 10
 	leastWidth   = 1 << 10
+	// doorBits for each counter, and doorFull entries for each: eight bits an entry
+	// let one in forty pass with four hashes.
+	doorBits, doorFull = 16, 2
 )
 
 // newSketch makes one for as many objects as the disk may hold.
@@ -31,7 +40,7 @@
 	for i := range k.rows {
 		k.rows[i] = make([]uint64, width/16)
 	}
-	k.door = make([]uint64, width/16)
+	k.door = make([]uint64, width*doorBits/64)
 	return k
 }
 
@@ -50,7 +59,7 @@
 func (k *sketch) inDoor(h uint64, enter bool) bool {
 	in := true
 	for i := range k.rows {
-		p := spot(h, i+4) & (k.mask<<2 | 3)
+		p := spot(h, i+4) & (k.mask*doorBits | (doorBits - 1))
 		bit := uint64(1) << (p % 64)
 		in = in && k.door[p/64]&bit != 0
 		if enter {
@@ -74,6 +83,9 @@
 		k.halve()
 	}
 	if !k.inDoor(h, true) {
+		if k.inside++; k.inside >= doorFull*int(k.mask+1) {
+			k.clearDoor()
+		}
 		return
 	}
 	low := k.minimum(h)
@@ -92,5 +104,10 @@
 			row[j] = w >> 1 & 0x7777777777777777
 		}
 	}
+	k.clearDoor()
+}
+
+func (k *sketch) clearDoor() {
 	clear(k.door)
+	k.inside = 0
 }
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -628,7 +628,7 @@
 	buckets, width := int64(t.table.mask+1), int64(t.sketch.mask+1)
 	return Size{Parts: t.table.live, PartsMost: t.table.most, Bytes: int64(t.table.liveSlot) * int64(t.set.Slot),
 		BytesMost: int64(t.set.Slots) * int64(t.set.Slot), Queued: t.queued, Reading: t.reading,
-		Memory:   int64(len(t.table.chunks))*chunkSize*64 + buckets*8 + int64(t.set.Slots)*33/8 + width*5/2,
+		Memory:   int64(len(t.table.chunks))*chunkSize*64 + buckets*8 + int64(t.set.Slots)*33/8 + width*4,
 		Unsynced: len(t.condemned) + len(t.syncing), Remember: len(t.purges.objects)}
 }
 
--- /dev/null
+++ b/internal/tier/tier_test.go
@@ -0,0 +1,448 @@
+package tier
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const ms, start = int64(1000), 1_000_000 * second
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	flag.Set("rapid.seed", "1") // the same cases at every run
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func small(change func(*Settings)) *Tier {
+	set := Settings{Rules: []Rule{{Name: "page", Fresh: 60 * second, Grace: 30 * second, SLA: second / 2, Keep: true},
+		{Name: "video", Fresh: 60 * second, SLA: second / 2, Keep: true}, {Name: "sign", SLA: second}},
+		Slot: 1000, Slots: 200, Entries: 200, WritePerS: 1 << 30, Queue: 1 << 20, SyncEvery: second, Reads: 4,
+		Cleared: 6 * second, LongestTx: 2 * second, BlindFrom: 2 * second}
+	if change != nil {
+		change(&set)
+	}
+	return New(start, set)
+}
+
+func page(object string, part int64) Ask { return Ask{Object: object, Part: part, Left: second} }
+
+// put writes a copy as if it was wanted so often, and tells why not.
+func (t *Tier) put(now int64, a Ask, slots int, wants int) Reason {
+	for range wants {
+		if v, _ := t.Look(now, &a); v != Miss {
+			t.reading--
+		}
+	}
+	p, reason := t.Offer(now, &Copy{Ask: a, Issued: now / ms, Length: slots * t.set.Slot})
+	if reason == Good {
+		t.Written(p.Ref, slots*t.set.Slot, true)
+		t.Drops()
+		t.Synced()
+	}
+	return reason
+}
+
+// look gives a verdict and ends the read at once.
+func (t *Tier) peek(now int64, a Ask) (Verdict, Reason) {
+	v, f := t.Look(now, &a)
+	if v != Miss {
+		t.reading--
+	}
+	return v, f.Reason
+}
+
+func TestNewcomerMustOutweighWhatItPushesOutByBytes(t *testing.T) {
+	x := small(nil)
+	for i := range 30 { // 175 slots are for use; five in each, wanted three times
+		x.put(start+second, page(fmt.Sprint("old", i), 0), 5, 3)
+	}
+	for i := range 5 {
+		x.put(start+second, page(fmt.Sprint("last", i), 0), 5, 3)
+	}
+	if r := x.put(start+second, page("once", 0), 5, 1); r != WantedOnce {
+		t.Fatalf("wanted once: %v", r)
+	}
+	if r := x.put(start+second, page("equal", 0), 5, 3); r != Outweighed {
+		t.Fatalf("as dear as its victim: %v", r)
+	}
+	// Twelve slots push out three of five that are wanted three times each.
+	if r := x.put(start+second, page("large", 0), 12, 3); r != Outweighed {
+		t.Fatalf("large and as dear: %v", r)
+	}
+	if r := x.put(start+second, page("large", 0), 12, 1); r != Good || x.Counts.Evicted != 3 {
+		t.Fatalf("large and dearer: %v, %d gave way", r, x.Counts.Evicted)
+	}
+	if v, r := x.peek(start+second, page("old0", 0)); v != Miss || r != NotHeld {
+		t.Fatalf("the oldest stayed: %v", r)
+	}
+	if v, _ := x.peek(start+second, page("last0", 0)); v != Serve {
+		t.Fatal("a newer one gave way")
+	}
+}
+
+// The long tail of objects wanted once costs no write and pushes nothing out.
+func TestScanWritesNothing(t *testing.T) {
+	x := small(nil)
+	for i := range 30 {
+		x.put(start+second, page(fmt.Sprint("video", i), 0), 5, 3)
+	}
+	written := x.Counts.BytesIn
+	for i := range 1500 { // under the sample's size: no reset within
+		x.put(start+second+int64(i)*ms, page(fmt.Sprint("scan", i), 0), 5, 1)
+	}
+	if grown := x.Counts.BytesIn - written; grown > written/10 { // some fall together in the sketch
+		t.Fatalf("%d bytes written for objects wanted once, %d before", grown, written)
+	}
+	for i := range 30 {
+		if v, r := x.peek(start+3*second, page(fmt.Sprint("video", i), 0)); v != Serve {
+			t.Fatalf("video %d: %v", i, r)
+		}
+	}
+}
+
+func TestWhatMayBeServed(t *testing.T) {
+	a := page("x", 3)
+	for name, c := range map[string]struct {
+		change  func(x *Tier)
+		later   int64
+		verdict Verdict
+		reason  Reason
+	}{
+		"fresh":            {nil, 10 * second, Serve, Good},
+		"past fresh":       {nil, 61 * second, Prove, TooOld},
+		"gap in the board": {func(x *Tier) { x.Gap(start + second) }, 2 * second, Prove, Unvouched},
+		"board just lost":  {func(x *Tier) { x.Board(start+second, true) }, 2 * second, Serve, Good},
+		"board lost":       {func(x *Tier) { x.Board(start+second, true) }, 4 * second, Prove, Blind},
+		"board back": {func(x *Tier) { x.Board(start+second, true); x.Board(start+9*second, false) },
+			10 * second, Serve, Good},
+		"object purged":       {func(x *Tier) { x.Purge(start+second, "x", 0, start+second) }, 2 * second, Miss, NotHeld},
+		"other object purged": {func(x *Tier) { x.Purge(start+second, "y", 0, start+second) }, 2 * second, Serve, Good},
+		"group purged":        {func(x *Tier) { x.Purge(start+second, "", 0, start+second) }, 2 * second, Miss, Purged},
+		"other group":         {func(x *Tier) { x.Purge(start+second, "", 1, start+second) }, 2 * second, Serve, Good},
+		"purged before":       {func(x *Tier) { x.Purge(start+second, "x", 0, start-second) }, 2 * second, Serve, Good},
+		"from ahead":          {nil, -5 * second, Prove, FromAhead},
+		"link full":           {func(x *Tier) { x.link = link{whole: 1000, busy: start + 2*second} }, second, Miss, LinkBusy},
+		"reads in hand":       {func(x *Tier) { x.reading = 4 }, second, Miss, DiskBusy},
+		"off":                 {func(x *Tier) { x.Fault(start, ManyReadFaults) }, second, Miss, DiskOff},
+		"writes fail":         {func(x *Tier) { x.Fault(start, WriteFault) }, second, Serve, Good},
+	} {
+		x := small(nil)
+		if r := x.put(start+ms*500, a, 2, 2); r != Good {
+			t.Fatal(r)
+		}
+		if c.change != nil {
+			c.change(x)
+		}
+		if v, r := x.peek(start+c.later, a); v != c.verdict || r != c.reason {
+			t.Errorf("%s: verdict %v, %v; want %v, %v", name, v, r, c.verdict, c.reason)
+		}
+	}
+	if v, r := small(nil).peek(start, Ask{Rule: 2, Object: "x"}); v != Miss || r != NotKeepable {
+		t.Errorf("a writing rule: %v", r)
+	}
+	if _, r := small(nil).Offer(start, &Copy{Ask: Ask{Rule: 2, Object: "x"}, Issued: start / ms, Length: 9}); r != NotKeepable {
+		t.Errorf("a writing rule's answer: %v", r)
+	}
+}
+
+// A copy that an answer brings after a purge, but that was given out before it,
+// is not kept; nor served, if the purge comes while it is written or read.
+func TestPurgeMeetsCopyOnItsWay(t *testing.T) {
+	a := page("x", 0)
+	x := small(nil)
+	x.Purge(start+second, "x", 0, start+second)
+	x.Look(start, &a)
+	x.Look(start, &a)
+	offer := func(issued int64) (Place, Reason) {
+		return x.Offer(start+2*second, &Copy{Ask: a, Issued: issued / ms, Length: 100})
+	}
+	if _, r := offer(start + 1*second); r != Purged {
+		t.Fatalf("older than the purge: %v", r)
+	}
+	p, r := offer(start + 1500*ms)
+	if r != Good {
+		t.Fatal(r)
+	}
+	x.Purge(start+2*second, "x", 0, start+2*second)
+	if x.Wanted(p.Ref) || x.Written(p.Ref, 100, true) {
+		t.Fatal("purged while it was written, and named to the index")
+	}
+	x.Drops()
+	x.Synced()
+	x.put(start+3*second, a, 1, 0)
+	v, f := x.Look(start+3*second, &a)
+	if v != Serve {
+		t.Fatal(f.Reason)
+	}
+	x.Purge(start+4*second, "", 0, start+4*second)
+	if usable, _ := x.Read(start+4*second, f.Ref, Sound); usable || x.StillServe(start+4*second, f.Ref, 0, 1, false, false) {
+		t.Fatal("purged while it was read, and served")
+	}
+}
+
+// After a start, what caches still hold may be older than a purge of before.
+func TestCopiesOfBeforeTheStartAreNotVouchedFor(t *testing.T) {
+	x := small(nil)
+	a := page("x", 0)
+	x.Look(start, &a)
+	x.Look(start, &a)
+	p, _ := x.Offer(start+second, &Copy{Ask: a, Issued: (start - second) / ms, Length: 100})
+	x.Written(p.Ref, 100, true)
+	if v, r := x.peek(start+second, a); v != Prove || r != Unvouched {
+		t.Fatalf("given out before the start: %v, %v", v, r)
+	}
+	x.Proven(start+2*second, p.Ref, (start-second)/ms, 100)
+	if v, _ := x.peek(start+2*second, a); v != Prove {
+		t.Fatal("a cache that may not have dropped it yet has proven it for good")
+	}
+	x.Proven(start+9*second, p.Ref, (start-second)/ms, 100)
+	if v, r := x.peek(start+9*second, a); v != Serve {
+		t.Fatalf("proven by a cache that has dropped what was purged: %v", r)
+	}
+}
+
+func TestRecoveredPartsAreProvenFirst(t *testing.T) {
+	x := small(nil)
+	a := page("x", 0)
+	k := Kept{Key: x.key(&a), Object: x.object("x"), Issued: start / ms, Seq: 9, Length: 1500, Runs: []Run{{7, 2}}}
+	bad := []Kept{{Length: 1500, Runs: []Run{{7, 1}}}, {Length: 500, Runs: []Run{{200, 1}}}, {Length: -1},
+		{Length: 500, Runs: []Run{{1, 1}}, Rule: -1}, {Length: 500, Runs: []Run{{1, 1}}, Rule: 2},
+		{Length: 500, Runs: []Run{{^uint32(0), 1}}}}
+	for i := range bad {
+		if x.Install(&bad[i]) {
+			t.Errorf("%+v installed", bad[i])
+		}
+	}
+	if !x.Install(&k) {
+		t.Fatal("not installed")
+	}
+	twice := Kept{Key: 1, Length: 2500, Seq: 10, Runs: []Run{{2, 2}, {8, 1}}}
+	if x.Install(&twice) || x.slots.free != 198 {
+		t.Errorf("slots of another, %d free", x.slots.free)
+	}
+	x.Purge(start, "late", 0, start) // told while recovery is going on
+	if x.Install(&Kept{Key: 2, Object: x.object("late"), Issued: start / ms, Length: 500, Seq: 11, Runs: []Run{{20, 1}}}) {
+		t.Error("purged, yet installed")
+	}
+	if v, r := x.peek(start+ms, a); v != Prove || r != Unvouched {
+		t.Fatalf("verdict %v, %v", v, r)
+	}
+	x.Purge(start+second, "x", 0, start+second)
+	if v, _ := x.peek(start+second, a); v != Miss {
+		t.Fatal("purged, yet proven")
+	}
+	if d := x.Drops(); len(d) != len(bad)+3 || d[len(d)-1] != (Drop{k.Key, 9}) {
+		t.Fatalf("drops %+v", d)
+	}
+}
+
+func TestWritesKeepToTheirBudgetAndQueue(t *testing.T) {
+	x := small(func(s *Settings) { s.WritePerS, s.Slots, s.Entries, s.Queue = 10_000, 4000, 4000, 1<<30 })
+	r := rand.New(rand.NewPCG(1, 1))
+	var at []int64
+	for i := range 4000 {
+		now := start + int64(i)*5*ms
+		a := page(fmt.Sprint(i), 0)
+		x.Look(now, &a)
+		x.Look(now, &a)
+		if p, reason := x.Offer(now, &Copy{Ask: a, Issued: now / ms, Length: 1 + r.IntN(3000)}); reason == Good {
+			for range len(p.Runs) {
+				at = append(at, now)
+			}
+			x.Written(p.Ref, 1, true)
+		}
+	}
+	window := func(lasts int64) (most int) {
+		for i, j := 0, 0; i < len(at); i++ {
+			for at[i]-at[j] >= lasts {
+				j++
+			}
+			most = max(most, i-j+1)
+		}
+		return most
+	}
+	if n := window(second); n > 20 {
+		t.Errorf("%d records of a slot or more within a second, at ten slots a second", n)
+	}
+	if n := window(10 * second); n > 110 || n < 20 {
+		t.Errorf("%d records within ten seconds", n)
+	}
+	x = small(func(s *Settings) { s.Queue = 3000 })
+	for i := range 4 {
+		a := page(fmt.Sprint(i), 0)
+		x.Look(start, &a)
+		x.Look(start, &a)
+		if _, reason := x.Offer(start, &Copy{Ask: a, Issued: start / ms, Length: 10}); (reason == QueueFull) != (i == 3) {
+			t.Errorf("copy %d: %v", i, reason)
+		}
+	}
+}
+
+func TestHealth(t *testing.T) {
+	x := small(nil)
+	if h, changed := x.Fault(start, NoSpace); h != Full || !changed {
+		t.Fatal(h)
+	}
+	if r := x.put(start+second, page("x", 0), 1, 2); r != DiskOff {
+		t.Fatalf("written to a full disk: %v", r)
+	}
+	if r := x.put(start+tryAgain, page("x", 0), 1, 2); r != Good {
+		t.Fatalf("not tried again: %v", r)
+	}
+	x.Fault(start, WriteFault)
+	if h, _ := x.Fault(start, Due); h != ReadsOnly {
+		t.Fatalf("%v: written again after a failed sync", h)
+	}
+	for i := range readFaultsMost {
+		if h, _ := x.Fault(start+int64(i)*faultWindow/4, ReadFault); h != ReadsOnly {
+			t.Fatal("off by faults far apart")
+		}
+	}
+	changes := 0
+	for range 2 * readFaultsMost {
+		if _, changed := x.Fault(start+10*faultWindow, ReadFault); changed {
+			changes++
+		}
+	}
+	if x.Health() != Off || changes != 1 {
+		t.Fatalf("%v after %d changes", x.Health(), changes)
+	}
+}
+
+// The books agree with each other after any steps: no slot in two chains, none
+// lost, every entry found by its key, all bounds kept.
+func TestBooksAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "n") }
+		x := small(func(s *Settings) { s.Slots, s.Entries = 70, 10+draw(30) })
+		now := start
+		var out []Place
+		for range 60 {
+			now += int64(draw(1000)) * ms
+			a := Ask{Object: fmt.Sprint(draw(20)), Part: int64(draw(2)), Group: uint8(draw(2)), Left: second}
+			switch draw(8) {
+			case 0:
+				x.Purge(now, a.Object, 0, now)
+			case 1:
+				x.Purge(now, "", a.Group, now)
+			case 2:
+				x.Drops()
+				x.Synced()
+			case 3:
+				x.Gap(now)
+			default:
+				x.peek(now, a)
+				x.peek(now, a)
+				if p, r := x.Offer(now, &Copy{Ask: a, Issued: now / ms, Length: 1 + draw(4000)}); r == Good {
+					out = append(out, p)
+				}
+			}
+			if len(out) > draw(4) {
+				x.Written(out[0].Ref, 1, draw(5) > 0)
+				out = out[1:]
+			}
+			check(t, x)
+		}
+	})
+}
+
+func check(t *rapid.T, x *Tier) {
+	owner := map[uint32]string{}
+	own := func(first uint32, who string) {
+		for at := first; at != none; at = x.slots.next[at] {
+			if owner[at] != "" {
+				t.Fatalf("slot %d of %s and %s", at, owner[at], who)
+			}
+			owner[at] = who
+		}
+	}
+	live, slots := 0, 0
+	for i := x.table.oldest; i != none; i = x.table.at(i).newer {
+		e := x.table.at(i)
+		if live++; x.table.find(e.key) != i {
+			t.Fatalf("entry %d is not found by its key", i)
+		}
+		own(e.slot, fmt.Sprint("entry ", i))
+		slots += x.chain(i)
+	}
+	for _, first := range append(append([]uint32{}, x.condemned...), x.syncing...) {
+		own(first, "condemned")
+	}
+	if live != x.table.live || slots != x.table.liveSlot || len(owner)+x.slots.free != x.set.Slots {
+		t.Fatalf("%d of %d entries, %d of %d slots, %d owned and %d free of %d", live, x.table.live, slots,
+			x.table.liveSlot, len(owner), x.slots.free, x.set.Slots)
+	}
+	if live > x.set.Entries || x.table.liveSlot > x.set.Slots-x.reserve() {
+		t.Fatalf("over a bound: %d entries, %d slots", live, x.table.liveSlot)
+	}
+}
+
+func TestPurgesAreBounded(t *testing.T) {
+	x := small(nil)
+	a := page("kept", 0)
+	x.put(start+ms, a, 1, 2)
+	for i := range 3 * purgesMost {
+		x.Purge(start+second, fmt.Sprint(i), 0, start+second)
+	}
+	if n := len(x.purges.objects); n > purgesMost {
+		t.Fatalf("%d purges remembered", n)
+	}
+	if v, _ := x.peek(start+second, a); v != Miss {
+		t.Fatal("served though its purge may be among those forgotten")
+	}
+	x.put(start+3*second, a, 1, 0)
+	if v, r := x.peek(start+3*second, a); v != Serve {
+		t.Fatalf("given out since: %v", r)
+	}
+}
+
+func TestClockJumpsAreSeen(t *testing.T) {
+	var c Clock
+	wall, steady := start, int64(0)
+	for range 100 { // slewed by 500 ppm, as time servers do
+		wall, steady = wall+second+500, steady+second
+		if c.Stepped(wall, steady) {
+			t.Fatal("slewing is no jump")
+		}
+	}
+	for _, jump := range []int64{-second, 3600 * second, -60 * ms} {
+		wall += jump
+		if !c.Stepped(wall, steady) || c.Stepped(wall, steady) {
+			t.Fatalf("a jump by %d us: not told, or twice", jump)
+		}
+	}
+}
+
+func TestSketch(t *testing.T) {
+	k := newSketch(1000)
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 9000 { // under the reset
+		k.count(r.Uint64())
+	}
+	hot := uint64(77)
+	for range 5 {
+		k.count(hot)
+	}
+	if n := k.estimate(hot); n < 5 {
+		t.Fatalf("estimate %d of 5: it never counts short", n)
+	}
+	over := 0
+	for range 1000 {
+		if k.estimate(r.Uint64()) > 1 {
+			over++
+		}
+	}
+	if over > 100 {
+		t.Fatalf("%d of 1000 never seen count as wanted more than once", over)
+	}
+	k.halve()
+	if n := k.estimate(hot); n < 2 || n > 4 {
+		t.Fatalf("%d after the reset", n)
+	}
+}
