Fuzz the record and index readers; test locks, looks and steps between

Need: the readers take what a broken disk holds. Change: fuzz tests of both, a look that names broken and overlapping records, the lock held by a process that is killed.

--- /dev/null
+++ b/internal/disk/disk_test.go
@@ -0,0 +1,220 @@
+package disk_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"os/exec"
+	"slices"
+	"testing"
+
+	"quilldoor/internal/crashfs"
+	"quilldoor/internal/disk"
+	"quilldoor/internal/tier"
+)
+
+var super = disk.Super{Slot: disk.LeastSlot, Seed: 5}
+
+func open(t testing.TB, fs disk.FS) (*disk.Store, *disk.Recovery) {
+	t.Helper()
+	s, r, err := disk.Open(fs, super, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, r
+}
+
+// put writes a record of a body over given slots and makes it last.
+func put(t testing.TB, s *disk.Store, seq uint64, body string, runs ...tier.Run) disk.Entry {
+	t.Helper()
+	r := disk.Record{Seq: seq, Issued: 77, Part: 3, Rule: "page", Object: "ab", Tag: "tag", Group: 9, Body: len(body)}
+	if err := s.Write(runs, &r, [][]byte{[]byte(body)[:len(body)/2], []byte(body)[len(body)/2:]}); err != nil {
+		t.Fatal(err)
+	}
+	e := disk.Entry{Key: seq, Object: 2, Issued: 77, Seq: seq, Length: r.Length(), Rule: disk.RuleHash("page"), Group: 9, Runs: runs}
+	if err := s.Commit([]disk.Entry{e}, nil); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func TestRecordsInPieces(t *testing.T) {
+	fs := crashfs.New()
+	s, r := open(t, fs)
+	if !r.Fresh {
+		t.Error("a new folder is not fresh")
+	}
+	body := string(bytes.Repeat([]byte("0123456789abcdef"), 1200))
+	var runs []tier.Run
+	for i := range uint32(20) { // each slot apart: a put and four frames more
+		runs = append(runs, tier.Run{Start: 2 * i, Count: 1})
+	}
+	want := put(t, s, 7, body, runs...)
+	put(t, s, 8, "", tier.Run{Start: 1, Count: 1})
+	if err := s.Commit(nil, []tier.Drop{{Key: 8, Seq: 8}, {Key: 7, Seq: 6}}); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // as it was written, and written anew
+		s.Close()
+		s, r = open(t, fs)
+		if len(r.Entries) != 1 || r.BadFrames != 0 || !slices.Equal(r.Entries[0].Runs, runs) || r.Entries[0].Length != want.Length {
+			t.Fatalf("%+v", r)
+		}
+		rec, from, err := s.Read(r.Entries[0].Runs, r.Entries[0].Length)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(from)
+		if err != nil || string(got) != body || !from.Sound() || rec.Part != 3 || rec.Tag != "tag" || rec.Object != "ab" {
+			t.Fatalf("%+v, %d bytes, %v", rec, len(got), err)
+		}
+		if err := s.Compact(func(tell func(*disk.Entry) error) error { return tell(&r.Entries[0]) }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names, _ := fs.List()
+	if !slices.Equal(names, []string{"data", "index-0000000000000002", "store"}) {
+		t.Fatalf("files %q", names)
+	}
+	if err := s.Write(runs[:2], &disk.Record{Body: len(body)}, [][]byte{[]byte(body)}); !errors.Is(err, disk.ErrRecord) {
+		t.Errorf("longer than its slots: %v", err)
+	}
+	if (&disk.Record{Tag: string(make([]byte, 256))}).Length() != 0 {
+		t.Error("a tag that no byte can tell the length of")
+	}
+}
+
+func TestLookFindsWhatIsWrong(t *testing.T) {
+	fs := crashfs.New()
+	s, _ := open(t, fs)
+	put(t, s, 1, "one", tier.Run{Start: 0, Count: 1})
+	put(t, s, 2, "two", tier.Run{Start: 1, Count: 1})
+	s.Close()
+	look := func() *disk.Report {
+		r, err := disk.Look(fs, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	before := fs.Len()
+	if r := look(); !r.Sound() || r.Parts != 2 || r.ByRule["page"] != 2 || r.SlotsUsed != 2 || fs.Len() != before {
+		t.Fatalf("%+v", r)
+	}
+	fs.Bytes("data")[disk.LeastSlot+45] ^= 1
+	if r := look(); r.Sound() || r.Broken != 1 {
+		t.Fatalf("a flipped bit: %+v", r)
+	}
+	fs.Bytes("data")[disk.LeastSlot+45] ^= 1
+	s, _ = open(t, fs)
+	put(t, s, 3, "three", tier.Run{Start: 1, Count: 1})
+	if r := look(); r.Sound() || r.Overlaps != 1 {
+		t.Fatalf("a slot of two: %+v", r)
+	}
+	if _, err := disk.Look(crashfs.New(), true); !errors.Is(err, disk.ErrForeign) {
+		t.Fatal(err)
+	}
+}
+
+// A folder of the operating system is held by one process at a time, and let go
+// by one that was killed.
+func TestLockOfAnotherProcess(t *testing.T) {
+	if path := os.Getenv("QUILLDOOR_TEST_LOCK"); path != "" {
+		if _, _, err := disk.Open(disk.Dir{Path: path}, super, 64); err != nil {
+			t.Fatal(err)
+		}
+		os.Stdout.WriteString("held\n")
+		select {}
+	}
+	dir := t.TempDir()
+	other := exec.Command(os.Args[0], "-test.run=^TestLockOfAnotherProcess$")
+	other.Env = append(os.Environ(), "QUILLDOOR_TEST_LOCK="+dir)
+	out, err := other.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := other.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer other.Wait()
+	defer other.Process.Kill()
+	if _, err := io.ReadFull(out, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := disk.Open(disk.Dir{Path: dir}, super, 64); !errors.Is(err, disk.ErrInUse) {
+		t.Fatalf("held by another: %v", err)
+	}
+	if _, err := disk.Look(disk.Dir{Path: dir, ReadOnly: true}, true); err != nil {
+		t.Fatalf("looked into while it is held: %v", err)
+	}
+	other.Process.Kill()
+	other.Wait()
+	s, _ := open(t, disk.Dir{Path: dir})
+	put(t, s, 1, "x", tier.Run{Start: 3, Count: 1})
+	s.Close()
+	if s, r := open(t, disk.Dir{Path: dir}); len(r.Entries) != 1 {
+		t.Fatalf("%+v", r)
+	} else {
+		s.Close()
+	}
+}
+
+// Whatever a record's bytes are, reading them ends without a panic, and says
+// sound only of what was written.
+func FuzzRecord(f *testing.F) {
+	fs := crashfs.New()
+	s, _ := open(f, fs)
+	put(f, s, 1, "a body of some length", tier.Run{Start: 0, Count: 1})
+	whole := slices.Clone(fs.Bytes("data"))
+	f.Add(whole, len(whole))
+	f.Add(whole[:30], 30)
+	f.Add(append(slices.Clone(whole[:41]), 0xff), 200)
+	f.Fuzz(func(t *testing.T, data []byte, length int) {
+		fs := crashfs.New()
+		s, _ := open(t, fs)
+		defer s.Close()
+		if file, err := fs.Open("data", false); err == nil {
+			file.WriteAt(data, 0)
+		}
+		rec, r, err := s.Read([]tier.Run{{Start: 0, Count: 2}}, length)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r)
+		if err == nil && r.Sound() && (len(body) != rec.Body || length != rec.Length()) {
+			t.Fatalf("sound with %d bytes, told %d in %d", len(body), rec.Body, length)
+		}
+		if err == nil && r.Sound() && !bytes.HasPrefix(data, whole) && len(data) < length {
+			t.Fatal("sound beyond its bytes")
+		}
+	})
+}
+
+// Whatever an index holds, it is read without a panic, and no entry is made up.
+func FuzzIndex(f *testing.F) {
+	fs := crashfs.New()
+	s, _ := open(f, fs)
+	put(f, s, 1, "x", tier.Run{Start: 0, Count: 1})
+	put(f, s, 2, "y", tier.Run{Start: 2, Count: 1}, tier.Run{Start: 4, Count: 1}, tier.Run{Start: 6, Count: 1})
+	s.Commit(nil, []tier.Drop{{Key: 1, Seq: 1}})
+	whole := slices.Clone(fs.Bytes("index-0000000000000000"))
+	f.Add(whole)
+	f.Add(whole[:100])
+	f.Add(append(slices.Clone(whole[64:128]), whole...))
+	f.Fuzz(func(t *testing.T, index []byte) {
+		fs := crashfs.New()
+		s, _ := open(t, fs)
+		s.Close()
+		if file, err := fs.Open("index-0000000000000000", false); err == nil {
+			file.WriteAt(index, 0)
+		}
+		s, r := open(t, fs)
+		defer s.Close()
+		for _, e := range r.Entries {
+			if e.Seq != 1 && e.Seq != 2 || r.Frames > len(index)/64 {
+				t.Fatalf("made up: %+v", e)
+			}
+		}
+	})
+}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -365,7 +365,7 @@
 }
 
 func read(data File, slot int, runs []tier.Run, length int) (Record, *Reader, error) {
-	r := &Reader{data: data, slot: int64(slot), runs: runs, left: length}
+	r := &Reader{data: data, slot: int64(slot), runs: runs, left: max(length, 0)}
 	var buf [headSize + 3*MostName]byte
 	h := buf[:headSize]
 	if _, err := io.ReadFull(r, h); err != nil {
--- a/internal/shelf/shelf_test.go
+++ b/internal/shelf/shelf_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
@@ -200,19 +199,21 @@
 func TestFaultsOfTheDisk(t *testing.T) {
 	for name, c := range map[string]struct {
 		op     crashfs.Op
+		file   string // "": any
 		part   int
 		err    error
 		health tier.Health
 		found  bool // what was written before can still be read
 	}{
-		"no space":             {crashfs.Write, 0, syscall.ENOSPC, tier.Full, true},
-		"no space within":      {crashfs.Write, 100, syscall.ENOSPC, tier.Full, true},
-		"quota":                {crashfs.Write, 0, syscall.EDQUOT, tier.Full, true},
-		"write fails":          {crashfs.Write, 0, syscall.EIO, tier.ReadsOnly, true},
-		"short write":          {crashfs.Write, 100, nil, tier.ReadsOnly, true},
-		"sync fails":           {crashfs.Sync, 0, syscall.EIO, tier.ReadsOnly, true},
-		"reads fail":           {crashfs.Read, 0, syscall.EIO, tier.Off, false},
-		"reads and disk is on": {crashfs.SyncDir, 0, syscall.EIO, tier.On, true}, // nothing needs one now
+		"no space":               {crashfs.Write, "", 0, syscall.ENOSPC, tier.Full, true},
+		"no space within":        {crashfs.Write, "", 100, syscall.ENOSPC, tier.Full, true},
+		"no space for the index": {crashfs.Write, "index", 0, syscall.ENOSPC, tier.Full, true},
+		"quota":                  {crashfs.Write, "", 0, syscall.EDQUOT, tier.Full, true},
+		"write fails":            {crashfs.Write, "", 0, syscall.EIO, tier.ReadsOnly, true},
+		"short write":            {crashfs.Write, "", 100, nil, tier.ReadsOnly, true},
+		"sync fails":             {crashfs.Sync, "", 0, syscall.EIO, tier.ReadsOnly, true},
+		"reads fail":             {crashfs.Read, "", 0, syscall.EIO, tier.Off, false},
+		"reads and disk is on":   {crashfs.SyncDir, "", 0, syscall.EIO, tier.On, true}, // nothing needs one now
 	} {
 		now := clockAt(1000 * second)
 		fs := crashfs.New()
@@ -226,8 +227,12 @@
 		hook.Reset()
 		var failing atomic.Bool
 		failing.Store(true)
-		fs.Break(func(op crashfs.Op, _ string, _ int) (*int, error) {
-			if op != c.op || !failing.Load() {
+		var wrote atomic.Int64
+		fs.Break(func(op crashfs.Op, file string, _ int) (*int, error) {
+			if op == crashfs.Write {
+				wrote.Add(1)
+			}
+			if op != c.op || !failing.Load() || !strings.HasPrefix(file, c.file) {
 				return nil, nil
 			}
 			if c.part > 0 {
@@ -240,6 +245,13 @@
 			keep(t, s, now.Load(), fmt.Sprint("after", i), strings.Repeat("x", 200))
 		}
 		until(t, name+": the state", func() bool { return s.State().Health == c.health })
+		if before := wrote.Load(); c.health != tier.On {
+			keep(t, s, now.Load(), "more", "more")
+			time.Sleep(20 * time.Millisecond)
+			if n := wrote.Load(); n != before {
+				t.Errorf("%s: %d writes in a state that forbids them", name, n-before)
+			}
+		}
 		errs := 0
 		for _, e := range hook.AllEntries() {
 			if e.Level == logrus.ErrorLevel {
@@ -261,12 +273,15 @@
 			until(t, name+": a write", func() bool { got = s.Get(ask("again")); return got != nil })
 			got.Release()
 		}
+		kept := s.State().Size.Parts
 		s.Close()
 		fs.Break(nil)
 		s, _ = running(t, fs, now, nil) // whatever it was, a restart finds a sound store
 		until(t, "recovery", s.ready.Load)
 		if r, err := disk.Look(fs, true); err != nil || !r.Sound() || r.Parts < 9 {
 			t.Errorf("%s: %+v, %v", name, r, err)
+		} else if (c.health == tier.Full || c.health == tier.On) && r.Parts != kept {
+			t.Errorf("%s: %d parts, %d were kept", name, r.Parts, kept)
 		}
 		s.Close()
 	}
@@ -308,6 +323,8 @@
 		t.Fatal(content(c))
 	}
 	c.Release()
+	s.Close()
+	allBuffers(t, s)
 }
 
 // Bytes are flipped, cut and written over at random in the data and the index:
@@ -336,21 +353,23 @@
 			}
 		}
 		later := newBench(t, fs, b.now+second)
-		for from := 0; from >= 0; {
-			from = later.tier.Each(from, func(k tier.Kept) {
-				rec, reader, err := later.store.Read(k.Runs, k.Length)
-				var body []byte
-				if err == nil {
-					body, err = io.ReadAll(reader)
-				}
-				if err != nil || !reader.Sound() || rec.Seq != k.Seq {
-					caught++
-					return
-				}
-				if served++; !bytes.Equal(body, b.content[rec.Seq]) {
-					t.Errorf("record %d is not what was written", rec.Seq)
-				}
-			})
+		for i := range 3 * 6 * 4 { // all that drive may have kept
+			object := fmt.Sprintf("%*d", 1+i/24, i/4%6)
+			a := &Ask{Rule: "page", Object: object, Part: int64(i % 4), Group: uint8(len(object)), Left: time.Second}
+			ask, _ := later.ask(a)
+			v, found := later.tier.Look(later.now, &ask)
+			if v == tier.Miss {
+				continue
+			}
+			c := later.read(&read{ask: a, found: found})
+			if c == nil {
+				caught++
+				continue
+			}
+			if served++; content(c) != string(b.content[c.ref.Seq()]) {
+				t.Errorf("record %d is not what was written", c.ref.Seq())
+			}
+			c.Release()
 		}
 		later.drive(10, r.IntN) // and it goes on
 	}
@@ -408,6 +427,12 @@
 		}
 	}
 	s.Close()
+	allBuffers(t, s)
+}
+
+// allBuffers tells whether the pool has all that it began with, and empties it.
+func allBuffers(t *testing.T, s *Shelf) {
+	t.Helper()
 	held := 0
 	for { // a pool of 1 MB has 128 buffers
 		if _, err := s.bodies.Read(strings.NewReader("x"), 1); err != nil {
@@ -419,3 +444,45 @@
 		t.Fatalf("%d buffers left of 128", held)
 	}
 }
+
+// What happens between two steps of a copy's way: a purge before it is written,
+// a purge while it is read, another name under the same hash.
+func TestBetweenTheSteps(t *testing.T) {
+	fs := crashfs.New()
+	b := newBench(t, fs, 1000*second)
+	b.now += second
+	a := &Ask{Rule: "page", Object: "x", Group: 1, Left: time.Second}
+	ask, _ := b.ask(a)
+	b.tier.Look(b.now, &ask)
+	b.tier.Look(b.now, &ask)
+	body, _ := b.bodies.Read(strings.NewReader("purged in the queue"), 19)
+	b.Keep(a, "tag", b.now/ms, body)
+	body.Release()
+	b.Purge("x", 0, b.now)
+	steps := fs.Len()
+	b.write(<-b.writes, &b.batch)
+	if fs.Len() != steps || len(b.batch.puts) != 0 {
+		t.Fatal("purged in the queue, yet written")
+	}
+	b.now += second
+	b.keep("x", 0, 100)
+	for name, c := range map[string]struct {
+		ask   *Ask
+		purge bool
+	}{"another name": {&Ask{Rule: "page", Object: "y", Group: 1}, false}, "another group": {&Ask{Rule: "page", Object: "x"}, false},
+		"purged": {a, true}} {
+		v, found := b.tier.Look(b.now, &ask)
+		if v == tier.Miss { // the purge came first
+			b.now += second
+			b.keep("x", 0, 100)
+			v, found = b.tier.Look(b.now, &ask)
+		}
+		if c.purge {
+			b.Purge("x", 0, b.now)
+		}
+		if b.read(&read{ask: c.ask, found: found}) != nil {
+			t.Errorf("%s: read", name)
+		}
+	}
+	allBuffers(t, b.Shelf)
+}
