--- a/cmd/quilldoor/disk_test.go
+++ b/cmd/quilldoor/disk_test.go
@@ -77,6 +77,9 @@
 	if field["queue"] == "sign" {
 		return fmt.Sprintf("%s ACK - %d\r\n%s\r\n", id, len(body), body)
 	}
+	if field["queue"] == "draw" {
+		return fmt.Sprintf("%s ACK entity=e,issued=%d 12\r\nSECRET-DRAWN\r\n", id, time.Now().UnixMilli())
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	object := field["path"]
@@ -153,7 +156,10 @@
 		object := fmt.Sprintf("o%d", int(r.ExpFloat64()*4)%40)
 		part := strconv.Itoa(r.IntN(3))
 		method, target, body := "GET", "/rpc/page/"+object+"/n-"+part, ""
-		if r.IntN(20) == 0 {
+		switch r.IntN(40) {
+		case 0: // read, but not to be repeated, so not to be kept
+			target = "/rpc/draw/" + object
+		case 1:
 			method, target, body = "PUT", "/rpc/sign/"+object, "SECRET-ACCEPTANCE"
 		}
 		o.mu.Lock()
@@ -169,7 +175,11 @@
 		if err != nil {
 			return // killed within its answer
 		}
-		if method == "PUT" || res.StatusCode != 200 {
+		if res.StatusCode == 304 {
+			wrong.Add(1)
+			told("304 to a client without a copy")
+		}
+		if method == "PUT" || strings.HasPrefix(target, "/rpc/draw/") || res.StatusCode != 200 {
 			continue
 		}
 		served.Add(1)
@@ -211,11 +221,12 @@
 		return path
 	}
 	settings := `"settings":{"Zone":"z","Zones":["z"],"Kinds":["box","origin"],"Siblings":1,
-	  "FamilyInfo":{"MasterKind":1,"BypassAllowed":true,"GoesThrough":[false,true],"NotesGiven":"all",
-	   "GoodForMs":[60000,0],"ClassGraceMs":[60000,0],"ClearedWithinMs":200},
+	  "FamilyInfo":{"MasterKind":1,"BypassAllowed":true,"GoesThrough":[false,true,false],"NotesGiven":"all",
+	   "GoodForMs":[60000,0,60000],"ClassGraceMs":[60000,0,0],"ClearedWithinMs":200},
 	  "Limits":{"MostTries":6,"Cancel":true,"StreamsPerConn":32},
 	  "Classes":[{"Name":"page","Effect":"safe","TargetMs":500,"GiveUpMs":2000,"Value":1},
-	   {"Name":"sign","Effect":"unsafe","TargetMs":500,"GiveUpMs":2000,"Value":1}]}}`
+	   {"Name":"sign","Effect":"unsafe","TargetMs":500,"GiveUpMs":2000,"Value":1},
+	   {"Name":"draw","Effect":"unsafe","TargetMs":500,"GiveUpMs":2000,"Value":1}]}}`
 	config := write("config.json", `{"name":"t","listen":"`+addr+`","seed":"1","board":"`+o.board.Addr().String()+
 		`","known":{"rev":1,"notices":[`+pool+`]},`+settings)
 	own := write("quilldoor.yaml", "disk:\n  path: "+folder+"\n  size_mb: 16\n  slot_kb: 1\n  sync_ms: 10\n  write_mb_per_s: 2\n"+
--- a/internal/tier/sketch.go
+++ b/internal/tier/sketch.go
@@ -16,7 +16,6 @@
 	mask   uint64
 	inside int // taken by the doorkeeper since it was cleared
 	sample int
-	most   int // sample size: the reset comes when it is reached
 }
 
 const (
@@ -36,7 +35,7 @@
 	for width < items {
 		width *= 2
 	}
-	k := &sketch{mask: uint64(width - 1), most: sampleFactor * max(items, leastWidth/sampleFactor)}
+	k := &sketch{mask: uint64(width - 1)}
 	for i := range k.rows {
 		k.rows[i] = make([]uint64, width/16)
 	}
@@ -77,9 +76,9 @@
 	return k.minimum(h)
 }
 
-// count notes that an object was wanted.
-func (k *sketch) count(h uint64) {
-	if k.sample++; k.sample >= k.most {
+// count notes that an object was wanted; so many are kept now.
+func (k *sketch) count(h uint64, kept int) {
+	if k.sample++; k.sample >= sampleFactor*max(kept, leastWidth/sampleFactor) {
 		k.halve()
 	}
 	if !k.inDoor(h, true) {
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -44,6 +44,7 @@
 	AdmitAll  bool // no estimate: a plain LRU, the baseline
 	Once      bool // write also what is wanted for the first time
 	CountEach bool // victims are outweighed by their number of wants, not by wants times bytes
+	NoVictims bool // written from the second want on, whatever gives way
 	Whole     bool // the estimate is that of the object, not of the part
 }
 
@@ -221,7 +222,7 @@
 		return Miss, Found{Reason: NotKeepable}
 	}
 	key, object := t.key(a), t.object(a.Object)
-	t.sketch.count(t.weighs(key, object))
+	t.sketch.count(t.weighs(key, object), t.table.live)
 	if t.health == Off {
 		return Miss, Found{Reason: DiskOff}
 	}
@@ -484,7 +485,7 @@
 		}
 		size := t.chain(i)
 		victims, room, full = append(victims, i), room+size, false
-		if t.purges.binds(e) || t.set.Choice.AdmitAll {
+		if t.purges.binds(e) || t.set.Choice.AdmitAll || t.set.Choice.NoVictims {
 			continue // it weighs nothing
 		}
 		w := t.sketch.estimate(t.weighs(e.key, e.object))
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -423,11 +423,11 @@
 	k := newSketch(1000)
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 9000 { // under the reset
-		k.count(r.Uint64())
+		k.count(r.Uint64(), 1000)
 	}
 	hot := uint64(77)
 	for range 5 {
-		k.count(hot)
+		k.count(hot, 1000)
 	}
 	if n := k.estimate(hot); n < 5 {
 		t.Fatalf("estimate %d of 5: it never counts short", n)
