--- a/cmd/quilldoor/serve_test.go
+++ b/cmd/quilldoor/serve_test.go
@@ -98,6 +98,12 @@
 
 // startRouter starts one with a cache and an origin.
 func startRouter(t *testing.T, cache, origin string) *running {
+	t.Helper()
+	return startWith(t, cache, origin, "", strings.NewReplacer())
+}
+
+// startWith starts one with an operator's file, and its configuration edited.
+func startWith(t *testing.T, cache, origin, own string, edit *strings.Replacer) *running {
 	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -115,8 +121,9 @@
 	  "Limits":{"MostTries":6,"Cancel":true,"SecondCopies":true,"RetryAfter":true,"MaxRetryAfterMs":500,"StreamsPerConn":32},
 	  "Classes":[{"Name":"page","Effect":"safe","TargetMs":500,"GiveUpMs":2000,"Value":1},
 	   {"Name":"sign","Effect":"unsafe","TargetMs":500,"GiveUpMs":2000,"Value":1}]}}`
+	r.text = edit.Replace(r.text)
 	r.configure(t, r.text)
-	f := &flags{over: config.Overrides{File: r.path}}
+	f := &flags{over: config.Overrides{File: r.path}, operator: own}
 	c, err := f.load()
 	if err != nil {
 		t.Fatal(err)
