Take the reading of YAML files out of the operator's package

Need: rehearsals are YAML, too, with faults named by key and line. Change: internal/yamlfile reads strictly and names file, line and key; internal/operator checks its own keys only. Result: its tests pass unchanged.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,11 +12,8 @@
 	"reflect"
 	"slices"
 
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
-
 	"quilldoor/internal/disk"
+	"quilldoor/internal/yamlfile"
 )
 
 // DefaultPath is read where neither a flag nor LB_OPERATOR names a file; it may
@@ -50,17 +47,6 @@
 	EveryS int    `yaml:"every_s"`
 }
 
-// Fault names what is wrong, and where.
-type Fault struct {
-	File, Key string
-	Line      int
-	Text      string
-}
-
-func (f *Fault) Error() string {
-	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Text)
-}
-
 // Load reads the file that the flag names, else LB_OPERATOR, else the default.
 func Load(flag string, env func(string) string) (*Config, error) {
 	path := cmp.Or(flag, env("LB_OPERATOR"))
@@ -76,78 +62,21 @@
 
 // Parse reads and checks a file's text.
 func Parse(name string, text []byte) (*Config, error) {
-	const most = 1 << 20 // no operator writes more; aliases could blow it up in memory
-	if len(text) > most {
-		return nil, &Fault{name, "file", 1, fmt.Sprintf("%d bytes, %d at most", len(text), most)}
-	}
-	file, err := parser.ParseBytes(text, 0)
-	if err != nil {
-		return nil, syntax(name, err)
-	}
-	if len(file.Docs) > 1 && file.Docs[1].Body != nil {
-		return nil, &Fault{name, "file", file.Docs[1].Body.GetToken().Position.Line, "a second document"}
-	}
 	c := &Config{}
-	if err := yaml.UnmarshalWithOptions(text, c, yaml.Strict()); err != nil && !empty(file) {
-		return nil, syntax(name, err)
-	}
-	if err := c.check(); err != nil {
-		f := err.(*Fault)
-		f.File, f.Line = name, line(file, f.Key)
-		return nil, f
+	if err := yamlfile.Read(name, text, c, c.check); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
-func empty(f *ast.File) bool {
-	return !slices.ContainsFunc(f.Docs, func(d *ast.DocumentNode) bool { return d.Body != nil })
-}
-
-// syntax turns the library's errors, which draw the place over several lines,
-// into one line.
-func syntax(name string, err error) error {
-	var wrong yaml.Error
-	if errors.As(err, &wrong) {
-		f := &Fault{File: name, Key: "file", Line: 1, Text: wrong.GetMessage()}
-		if t := wrong.GetToken(); t != nil {
-			f.Line, f.Key = t.Position.Line, cmp.Or(t.Value, f.Key)
-		}
-		return f
-	}
-	return &Fault{name, "file", 1, err.Error()}
-}
-
-// line finds where a key stands, or else the key above it.
-func line(file *ast.File, key string) int {
-	for ; key != ""; key = parentOf(key) {
-		path, err := yaml.PathString("$." + key)
-		if err != nil {
-			continue
-		}
-		if n, err := path.FilterFile(file); err == nil && n != nil {
-			return n.GetToken().Position.Line
-		}
-	}
-	return 1
-}
-
-func parentOf(key string) string {
-	for i := len(key) - 1; i >= 0; i-- {
-		if key[i] == '.' || key[i] == '[' {
-			return key[:i]
-		}
-	}
-	return ""
-}
-
 // check fills in what is not told and refuses what can't be worked with.
 func (c *Config) check() error {
 	if d := c.Disk; d != nil {
 		if d.Path == "" {
-			return &Fault{Key: "disk.path", Text: "missing"}
+			return yamlfile.Wrong("disk.path", "missing")
 		}
 		if !filepath.IsAbs(d.Path) {
-			return &Fault{Key: "disk.path", Text: "not an absolute path"}
+			return yamlfile.Wrong("disk.path", "not an absolute path")
 		}
 		for _, n := range []struct {
 			key               string
@@ -168,28 +97,27 @@
 				*n.at = n.without
 			}
 			if *n.at < n.low || *n.at > n.top {
-				return &Fault{Key: "disk." + n.key, Text: fmt.Sprintf("%d is not within %d and %d", *n.at, n.low, n.top)}
+				return yamlfile.Wrong("disk."+n.key, "%d is not within %d and %d", *n.at, n.low, n.top)
 			}
 		}
 		if d.Entries() < leastEntries {
-			return &Fault{Key: "disk.memory_mb", Text: fmt.Sprintf(
-				"%d MB are too few for %d slots: use larger slots or more memory", d.MemoryMB, d.Slots())}
+			return yamlfile.Wrong("disk.memory_mb", "%d MB are too few for %d slots: use larger slots or more memory", d.MemoryMB, d.Slots())
 		}
 		for i, r := range d.Rules {
 			if r == "" || slices.Index(d.Rules, r) < i {
-				return &Fault{Key: fmt.Sprintf("disk.rules[%d]", i), Text: fmt.Sprintf("%q is empty or stands twice", r)}
+				return yamlfile.Wrong(fmt.Sprintf("disk.rules[%d]", i), "%q is empty or stands twice", r)
 			}
 		}
 	}
 	if m := c.Metrics; m != nil {
 		if m.File == "" || !filepath.IsAbs(m.File) {
-			return &Fault{Key: "metrics.file", Text: "not an absolute path"}
+			return yamlfile.Wrong("metrics.file", "not an absolute path")
 		}
 		if m.EveryS == 0 {
 			m.EveryS = 10
 		}
 		if m.EveryS < 1 || m.EveryS > 3600 {
-			return &Fault{Key: "metrics.every_s", Text: fmt.Sprintf("%d is not within 1 and 3600", m.EveryS)}
+			return yamlfile.Wrong("metrics.every_s", "%d is not within 1 and 3600", m.EveryS)
 		}
 	}
 	return nil
