--- /dev/null
+++ b/cmd/quilldoor-lab/emulate.go
@@ -0,0 +1,247 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"quilldoor/internal/emulate"
+	"quilldoor/internal/record"
+	"quilldoor/internal/script"
+	"quilldoor/internal/world"
+	"quilldoor/rehearsals"
+)
+
+func scriptsCommand() *cobra.Command {
+	return &cobra.Command{Use: "scripts", Short: "List the rehearsals of the library", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+			defer w.Flush()
+			for _, name := range rehearsals.Names() {
+				s, err := rehearsals.Load(name)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(w, "%s\t%s\n", name, s.About)
+			}
+			return nil
+		}}
+}
+
+func emulateCommand() *cobra.Command {
+	var seed uint64
+	var onSockets, virtual, asJSON bool
+	var recordTo, router string
+	c := &cobra.Command{Use: "emulate SCRIPT", Short: "Play a rehearsal; exit code 2: a rule was broken", Args: cobra.ExactArgs(1),
+		Long: "Plays a script of the library or a file: on a virtual clock against the router's core and module in this\n" +
+			"process, or on the real one against router processes on loopback."}
+	f := c.Flags()
+	f.Uint64Var(&seed, "seed", 0, "of all chance; 0: the script's")
+	f.BoolVar(&virtual, "virtual", false, "on a virtual clock (the default)")
+	f.BoolVar(&onSockets, "sockets", false, "on loopback, in real time, against router processes")
+	f.BoolVar(&asJSON, "json", false, "print the result as JSON")
+	f.StringVar(&recordTo, "record", "", "write the record, a JSON line each, to this file")
+	f.StringVar(&router, "router", "", "the router's program for --sockets; else quilldoor beside this one")
+	c.MarkFlagsMutuallyExclusive("virtual", "sockets")
+	c.RunE = func(c *cobra.Command, args []string) error {
+		s, err := rehearsals.Load(args[0])
+		if err != nil {
+			return err
+		}
+		opt := emulate.Options{Seed: seed, Progress: progress(c.Context())}
+		if seed == 0 {
+			opt.Seed = s.Seed
+		}
+		done := func() error { return nil }
+		if recordTo != "" {
+			if opt.Record, done, err = recorder(recordTo); err != nil {
+				return err
+			}
+		}
+		var r *emulate.Result
+		if onSockets {
+			r, err = emulate.Sockets(c.Context(), s, opt, emulate.Routers{Program: router})
+		} else {
+			r, err = emulate.Virtual(c.Context(), s, opt)
+		}
+		if e := done(); err == nil {
+			err = e
+		}
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			enc := json.NewEncoder(os.Stdout)
+			enc.SetIndent("", " ")
+			err = enc.Encode(r)
+		} else {
+			print(os.Stdout, s, r)
+		}
+		if err == nil && len(r.Breaks) > 0 {
+			err = errBroken
+		}
+		return err
+	}
+	return c
+}
+
+// progress tells of runs that last.
+func progress(ctx context.Context) func(float64) {
+	const first, every = 3 * time.Second, 2 * time.Second
+	next := time.Now().Add(first)
+	return func(done float64) {
+		if now := time.Now(); now.After(next) && ctx.Err() == nil {
+			next = now.Add(every)
+			fmt.Fprintf(os.Stderr, "%3.0f%%\n", 100*done)
+		}
+	}
+}
+
+func recorder(path string) (note func(*record.Entry), done func() error, err error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	w := bufio.NewWriterSize(f, 1<<20)
+	enc := json.NewEncoder(w)
+	var bad error
+	note = func(e *record.Entry) {
+		if err := enc.Encode(e); err != nil && bad == nil {
+			bad = err
+		}
+	}
+	return note, func() error {
+		if err := w.Flush(); err != nil && bad == nil {
+			bad = err
+		}
+		if err := f.Close(); err != nil && bad == nil {
+			bad = err
+		}
+		return bad
+	}, nil
+}
+
+// print writes a result for people.
+func print(to io.Writer, s *script.Script, r *emulate.Result) {
+	fmt.Fprintf(to, "%s: %s\n", s.Name, s.About)
+	for _, t := range r.Troubles {
+		fmt.Fprintln(to, "  ", t)
+	}
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "rule\tphase\tasked\tin time\tlate\tstale\trefused\tfailed\tworth\tp50 ms\tp99 ms\t")
+	for _, k := range r.Rules {
+		for _, p := range world.Phases {
+			if o := k.Phases[p]; o != nil {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%d\t%d\t\n", k.Name, p, o.Asked, o.InTime, o.Late, o.Stale,
+					o.Refused, o.Failed, o.Worth/o.WorthMost, k.Quantile(50)/1000, k.Quantile(99)/1000)
+			}
+		}
+	}
+	w.Flush()
+	fmt.Fprintf(to, "worth %.4f past settling; %d tries, %d hops, %d tries unanswered; %d servers pushed over, the ledger stopped %d times\n",
+		r.Worth(), r.Taken, r.Hops, r.Lost, r.Fallen, r.LedgerStops)
+	fmt.Fprintf(to, "bytes into offices %.2f of those asked for, from the ledger %.2f; ends of hops %v\n",
+		r.FilledKB/r.AskedKB, r.LedgerKB/r.AskedKB, r.Ends)
+	timeline(to, r)
+	if len(r.Breaks) == 0 {
+		fmt.Fprintf(to, "the referee judged %d tries: no rule broken\n", r.Judged)
+		return
+	}
+	fmt.Fprintf(to, "RULES BROKEN, by rule: %v\n", r.Count[1:])
+	for i, b := range r.Breaks {
+		if i == 10 {
+			fmt.Fprintln(to, "   ...")
+			break
+		}
+		fmt.Fprintln(to, "  ", b)
+	}
+}
+
+// timeline draws each second: answers in time, late and none of up to sixty.
+func timeline(to io.Writer, r *emulate.Result) {
+	most := 1
+	for _, s := range r.Timeline {
+		most = max(most, s.InTime+s.Late+s.None)
+	}
+	fmt.Fprintln(to, "    s  caches  link  answers: # in time, ~ late, . none; ! a trouble is on")
+	for _, s := range r.Timeline {
+		bar := func(n int, c string) string { return strings.Repeat(c, (n*60+most/2)/most) }
+		mark := " "
+		if s.Troubles > 0 {
+			mark = "!"
+		}
+		fmt.Fprintf(to, "%s%4d %6d  %3.0f%%  %s%s%s\n", mark, s.At, s.Servers, 100*s.LinkUse, bar(s.InTime, "#"), bar(s.Late, "~"), bar(s.None, "."))
+	}
+}
+
+func explainCommand() *cobra.Command {
+	var txn string
+	c := &cobra.Command{Use: "explain FILE", Short: "Tell one txn's life, hop by hop, from a record", Args: cobra.ExactArgs(1)}
+	c.Flags().StringVar(&txn, "txn", "", "id of the txn")
+	c.MarkFlagRequired("txn")
+	c.RunE = func(_ *cobra.Command, args []string) error {
+		f, err := os.Open(args[0])
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		n := 0
+		var first int64
+		dec := json.NewDecoder(bufio.NewReaderSize(f, 1<<20))
+		for line := 1; ; line++ {
+			var e record.Entry
+			if err := dec.Decode(&e); err == io.EOF {
+				break
+			} else if err != nil {
+				return fmt.Errorf("%s:%d: %w", args[0], line, err)
+			}
+			if e.Txn != txn {
+				continue
+			}
+			if n++; n == 1 {
+				first = e.At
+			}
+			fmt.Printf("%12.6f s %+10.3f ms  %s\n", float64(e.At)/1e6, float64(e.At-first)/1e3, life(&e))
+		}
+		if n == 0 {
+			return fmt.Errorf("%s has no txn %s", args[0], txn)
+		}
+		return nil
+	}
+	return c
+}
+
+// life words a line of a txn's record.
+func life(e *record.Entry) string {
+	switch e.Kind {
+	case "taken":
+		return fmt.Sprintf("router %d takes it: %s of %s, group %d, %d ms left", e.Router, e.Rule, e.Object, e.Group, (e.Deadline-e.At)/1000)
+	case "sent":
+		text := fmt.Sprintf("hop %d goes out to %s", e.Hop, e.Server)
+		if e.Source != "" && e.Source != e.Server {
+			text += ", filled from " + e.Source
+		}
+		return text
+	case "came":
+		return fmt.Sprintf("hop %d has come to %s", e.Hop, e.Server)
+	case "ran":
+		return fmt.Sprintf("hop %d runs at %s", e.Hop, e.Server)
+	case "effect":
+		return fmt.Sprintf("hop %d has had its effect at %s", e.Hop, e.Server)
+	case "end":
+		return fmt.Sprintf("hop %d ends: %s", e.Hop, e.Outcome)
+	case "final":
+		return "answered: " + e.Outcome
+	case "left":
+		return "its client's time is over"
+	}
+	return e.Kind
+}
--- a/cmd/quilldoor-lab/main.go
+++ b/cmd/quilldoor-lab/main.go
@@ -1,84 +1,35 @@
-// Command quilldoor-lab is for experiments with the router's decisions. Nothing
-// of it is in the router.
+// Command quilldoor-lab is for experiments with the router's decisions: it
+// rehearses incidents on an emulated fleet. Nothing of it is in the router.
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"os"
-	"sync"
-	"text/tabwriter"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
-
-	"quilldoor/internal/tier"
-	"quilldoor/internal/trial"
 )
 
+// errBroken ends the command with exit code 2.
+var errBroken = errors.New("a rule was broken")
+
 func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	root := &cobra.Command{Use: "quilldoor-lab", Short: "Experiments with the router's decisions", SilenceUsage: true,
 		SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	root.AddCommand(diskTrial())
-	if err := root.Execute(); err != nil {
+	root.AddCommand(emulateCommand(), scriptsCommand(), explainCommand(), demoCommand(), diskTrial())
+	err := root.ExecuteContext(ctx)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "quilldoor-lab:", err)
-		os.Exit(1)
 	}
-}
-
-// variants are weighed in docs/disk-tier.md.
-var variants = []struct {
-	name string
-	tier.Choice
-}{
-	{"the router's", tier.Choice{}},
-	{"LRU, all admitted", tier.Choice{AdmitAll: true}},
-	{"LRU from the second want on", tier.Choice{NoVictims: true}},
-	{"estimate, also wanted once", tier.Choice{Once: true}},
-	{"victims by wants, not bytes", tier.Choice{CountEach: true}},
-	{"estimate of the whole object", tier.Choice{Whole: true}},
-}
-
-func diskTrial() *cobra.Command {
-	l := trial.Load{Objects: 20_000, Skew: 0.9, Videos: 0.2}
-	seeds := 3
-	c := &cobra.Command{Use: "disk-trial", Short: "Weigh variants of the disk tier's decisions on simulated load", Args: cobra.NoArgs}
-	f := c.Flags()
-	f.IntVar(&l.Txns, "txns", 1_500_000, "requests; the first third warms up")
-	f.Float64Var(&l.Disk, "disk", 0.05, "size of the disk, as a share of the catalogue's bytes")
-	f.IntVar(&l.Drift, "drift", 200, "requests after which two objects change places in popularity; 0: never")
-	f.IntVar(&seeds, "seeds", seeds, "runs of each, of which the mean is told")
-	c.RunE = func(*cobra.Command, []string) error {
-		if seeds < 1 || l.Txns < 3 || l.Disk <= 0 {
-			return fmt.Errorf("--seeds, --txns and --disk: too small")
-		}
-		shares := []float64{0.1, 0.3, 0.6}
-		out := make([]trial.Result, len(shares)*len(variants)*seeds)
-		var all sync.WaitGroup
-		room := make(chan struct{}, 6)
-		for i := range out {
-			all.Go(func() {
-				room <- struct{}{}
-				defer func() { <-room }()
-				load := l
-				load.Seed, load.Once = uint64(i%seeds), shares[i/seeds/len(variants)]
-				out[i] = trial.Run(load, variants[i/seeds%len(variants)].Choice)
-			})
-		}
-		all.Wait()
-		w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-		defer w.Flush()
-		fmt.Fprintln(w, "wanted once\tvariant\thit share\tbytes saved\twritten per byte served\twritten, of LRU's")
-		for i := 0; i < len(out); i += seeds {
-			var hit, saved, per, written, lru float64
-			for j := range seeds {
-				r, base := out[i+j], out[i/seeds/len(variants)*len(variants)*seeds+seeds+j]
-				hit, saved, per = hit+r.HitShare(), saved+r.SavedShare(), per+r.WrittenPerServed()
-				written, lru = written+float64(r.Written), lru+float64(base.Written)
-			}
-			n := float64(seeds)
-			fmt.Fprintf(w, "%.0f%%\t%s\t%.3f\t%.3f\t%.3f\t%.2f\n", 100*shares[i/seeds/len(variants)],
-				variants[i/seeds%len(variants)].name, hit/n, saved/n, per/n, written/lru)
-		}
-		return nil
+	switch {
+	case errors.Is(err, errBroken):
+		os.Exit(2)
+	case err != nil:
+		os.Exit(1)
 	}
-	return c
 }
--- /dev/null
+++ b/internal/emulate/virtual.go
@@ -0,0 +1,355 @@
+// Package emulate drives a world: on a virtual clock, against the router's core
+// and module in one process (virtual.go), or on the real one, against router
+// processes on loopback (sockets.go). Neither holds rules of the world.
+package emulate
+
+import (
+	"container/heap"
+	"context"
+
+	"quilldoor/internal/core"
+	"quilldoor/internal/record"
+	"quilldoor/internal/referee"
+	"quilldoor/internal/script"
+	"quilldoor/internal/settings"
+	"quilldoor/internal/world"
+	"quilldoor/logic"
+)
+
+// Options of a run.
+type Options struct {
+	Seed     uint64
+	Record   func(*record.Entry) // each line of the record, valid during the call; nil: none
+	Progress func(done float64)  // about once a simulated second
+
+	// Of wrong routers, for tests of the referee and of the model.
+	Settings func(*settings.Setup)       // changes what routers are handed
+	Deaf     func(world.Notice) bool     // notices that they don't hear
+	Answer   func(txn string, n int) int // how often they give an answer; nil: once
+}
+
+// Result is what came of a run.
+type Result struct {
+	*world.Result
+	Breaks []referee.Break
+	Count  [6]int // broken, by rule
+	Judged int
+}
+
+// Figures of the rules for a script.
+func Figures(s *script.Script, slack int64) referee.Figures {
+	const toldBy = 7_000_000 // the platform's page: what the board has counts as told 7 s later
+	f := &s.Fleet
+	return referee.Figures{Rules: s.Rules(), AnswerSlack: slack, DrainGrace: int64(f.DrainMS * 1000),
+		PurgeGrace: int64(f.PurgeMS * 1000), ToldBy: toldBy}
+}
+
+// epoch is the routers' time at the world's zero: births before are told as 0.
+const epoch = int64(1_000_000_000_000)
+
+// virtual is a run on a virtual clock.
+type virtual struct {
+	opt     Options
+	set     *script.Script
+	world   *world.World
+	referee *referee.Referee
+	routers []*vrouter
+	due     dueHeap
+	kicked  []*vrouter
+	ready   []*vtxn
+}
+
+// vrouter is a router: its core, and the time of its next timer.
+type vrouter struct {
+	id     int
+	core   *core.Core
+	starts uint64
+	next   int64
+	place  int
+	kick   bool
+	open   map[string]*vtxn
+}
+
+type vtxn struct {
+	router *vrouter
+	core   *core.Core // the router may have been started again since
+	txn    *core.Txn
+	ask    *world.Ask
+	rung   bool
+	over   bool
+	answer int
+}
+
+type reply struct{ issued int64 }
+
+func (reply) Release() {}
+
+// Virtual plays a script on a virtual clock. The same script and seed give the
+// same result, whatever the machine.
+func Virtual(ctx context.Context, s *script.Script, opt Options) (*Result, error) {
+	v := &virtual{opt: opt, set: s, referee: referee.New(Figures(s, 8_000))}
+	v.world = world.New(s, opt.Seed, v)
+	for i := range v.world.Routers() {
+		r := &vrouter{id: i, next: 1 << 62, place: -1}
+		v.routers = append(v.routers, r)
+		v.start(r, v.world.Known())
+	}
+	v.settle()
+	end, told := v.world.Length(), int64(0)
+	for steps := 0; !v.world.Over(); steps++ {
+		now := v.world.Next()
+		if len(v.due) > 0 && v.due[0].next < now {
+			now = v.due[0].next
+			if now > end {
+				break
+			}
+			v.world.At(now)
+			v.run(v.due[0])
+		} else if now > end {
+			break
+		} else {
+			v.world.Step(now)
+		}
+		v.settle()
+		if steps%1024 == 0 {
+			if err := ctx.Err(); err != nil {
+				return nil, err
+			}
+			if at := now / 1_000_000; at > told && opt.Progress != nil {
+				told = at
+				opt.Progress(float64(now) / float64(end))
+			}
+		}
+	}
+	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged}, nil
+}
+
+// start makes a router's core from nothing.
+func (v *virtual) start(r *vrouter, known []world.Server) {
+	setup := v.set.Settings(v.world.Office(r.id), r.id)
+	if v.opt.Settings != nil {
+		v.opt.Settings(&setup)
+	}
+	set := setup.Logic()
+	r.starts++
+	r.open = map[string]*vtxn{}
+	// A core of before may still call its kick; it must not wake the new one.
+	var self *core.Core
+	r.kick = false
+	self = core.New(&set, v.opt.Seed*1000+uint64(r.id)+r.starts<<32, func() {
+		if r.core == self && !r.kick {
+			r.kick = true
+			v.kicked = append(v.kicked, r)
+		}
+	})
+	r.core = self
+	r.core.Members(v.now(), "disk", servers(known))
+	v.run(r)
+}
+
+func servers(list []world.Server) (out []core.Server) {
+	for _, s := range list {
+		e := s.Entry
+		if e.Born > 0 {
+			e.Born += epoch
+		}
+		out = append(out, core.Server{Entry: e, Endpoint: e.Server})
+	}
+	return out
+}
+
+func (v *virtual) now() int64 { return v.world.Now() + epoch }
+
+// run does what has fallen due at a router, and sets its next time.
+func (v *virtual) run(r *vrouter) {
+	next, errands := r.core.Run(v.now())
+	for _, o := range errands {
+		if o.Kind == core.Drop {
+			v.world.Cancel(r.id, o.Hop.Txn.ID, o.Hop.N)
+		}
+	}
+	r.next = next - epoch
+	if r.place < 0 {
+		heap.Push(&v.due, r)
+	} else {
+		heap.Fix(&v.due, r.place)
+	}
+}
+
+// settle carries out what routers have decided, until nothing is left.
+func (v *virtual) settle() {
+	for len(v.ready) > 0 || len(v.kicked) > 0 {
+		for i := 0; i < len(v.ready); i++ {
+			t := v.ready[i]
+			t.rung = false
+			v.orders(t, t.txn.Take())
+		}
+		v.ready = v.ready[:0]
+		for i := 0; i < len(v.kicked); i++ {
+			r := v.kicked[i]
+			r.kick = false
+			if r.core != nil {
+				v.run(r)
+			}
+		}
+		v.kicked = v.kicked[:0]
+	}
+}
+
+func (v *virtual) orders(t *vtxn, orders []core.Order) {
+	for _, o := range orders {
+		switch o.Kind {
+		case core.Send:
+			v.send(t, o.Hop)
+		case core.Drop:
+			v.world.Cancel(t.router.id, t.ask.Txn, o.Hop.N)
+		case core.Completed:
+			v.final(t, "completed", o.Reply.(reply).issued, 0)
+		case core.Rejected:
+			v.final(t, "rejected", 0, o.Stay)
+		case core.Aborted:
+			v.final(t, "aborted", 0, 0)
+		}
+	}
+}
+
+func (v *virtual) send(t *vtxn, h *core.Hop) {
+	if t.over || !h.Begin() {
+		return
+	}
+	a := t.ask
+	x := &world.Hop{Router: t.router.id, Txn: a.Txn, N: h.N, Server: h.Server.Server, Source: h.Source, Rank: h.Rank,
+		Mode: h.Mode, Within: h.Age, Rule: a.Rule, Object: a.Object, Part: a.Part, Group: a.Group, SizeKB: a.SizeKB,
+		Write: a.Write, Tag: h}
+	if x.Source == "" && h.Server.Kind == "ledger" {
+		x.Source = h.Server.Server
+	}
+	v.world.Hop(x)
+}
+
+func (v *virtual) final(t *vtxn, outcome string, issued, stay int64) {
+	if t.over {
+		return
+	}
+	t.over = true
+	times := 1
+	if v.opt.Answer != nil {
+		times = v.opt.Answer(t.ask.Txn, 1)
+	}
+	for range times {
+		v.world.Final(t.router.id, t.ask.Txn, outcome, issued, stay)
+	}
+	v.detach(t)
+}
+
+// detach ends the reading of a mailbox, as front does.
+func (v *virtual) detach(t *vtxn) {
+	delete(t.router.open, t.ask.Txn)
+	for _, o := range t.txn.Detach() {
+		if o.Kind == core.Drop {
+			v.world.Cancel(t.router.id, t.ask.Txn, o.Hop.N)
+		}
+	}
+}
+
+// ---- What the world says ----
+
+// Ask opens a txn.
+func (v *virtual) Ask(a *world.Ask) {
+	r := v.routers[a.Router]
+	t := &vtxn{router: r, core: r.core, ask: a}
+	txn, err := r.core.Open(v.now(), logic.Event{Txn: a.Txn, Rule: v.world.RuleOf(a.Rule).Name, Object: a.Object, Group: a.Group,
+		Part: a.Part, Remaining: a.Limit, Repeat: a.Again, Write: a.Write}, func() {
+		if !t.rung && !t.over {
+			t.rung = true
+			v.ready = append(v.ready, t)
+		}
+	})
+	if err != nil {
+		v.world.Final(r.id, a.Txn, "rejected", 0, 0)
+		t.over, t.rung = true, true
+		return
+	}
+	t.txn = txn
+	r.open[a.Txn] = t
+}
+
+// Leave says that a client has gone.
+func (v *virtual) Leave(router int, txn string) {
+	if t := v.routers[router].open[txn]; t != nil {
+		t.over = true
+		t.core.Leave(v.now(), t.txn)
+		v.detach(t)
+	}
+}
+
+// End ends a hop.
+func (v *virtual) End(router int, h *world.Hop, e world.End) {
+	r := v.routers[router]
+	o := core.Outcome{Code: e.Code, Note: e.Note, Waited: e.Waited, Load: e.Load}
+	if e.Code == "done" {
+		o.Reply = reply{e.Issued}
+	}
+	if r.core != nil {
+		r.core.Ended(v.now(), h.Tag.(*core.Hop), o)
+	}
+}
+
+// Told tells a router of servers, or of a purge.
+func (v *virtual) Told(router int, n world.Notice) {
+	r := v.routers[router]
+	if v.opt.Deaf != nil && v.opt.Deaf(n) {
+		return
+	}
+	if n.Purge {
+		r.core.Purge(v.now(), n.Object, n.Group, n.At+epoch)
+		return
+	}
+	r.core.Members(v.now(), "diff", servers(n.Servers))
+}
+
+// Down kills a router.
+func (v *virtual) Down(router int) {
+	r := v.routers[router]
+	for _, t := range r.open {
+		t.over = true
+	}
+	r.core, r.open = nil, map[string]*vtxn{}
+	if r.place >= 0 {
+		heap.Remove(&v.due, r.place)
+	}
+}
+
+// Up starts it from nothing.
+func (v *virtual) Up(router int, known []world.Server) { v.start(v.routers[router], known) }
+
+// Note passes a line of the record on.
+func (v *virtual) Note(e *record.Entry) {
+	v.referee.Note(e)
+	if v.opt.Record != nil {
+		v.opt.Record(e)
+	}
+}
+
+type dueHeap []*vrouter
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(i, j int) bool {
+	return h[i].next < h[j].next || h[i].next == h[j].next && h[i].id < h[j].id
+}
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *dueHeap) Push(x any) {
+	x.(*vrouter).place = len(*h)
+	*h = append(*h, x.(*vrouter))
+}
+func (h *dueHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	x.place = -1
+	return x
+}
--- /dev/null
+++ b/internal/script/script.go
@@ -0,0 +1,346 @@
+// Package script reads rehearsals: a fleet, its load and troubles, as YAML.
+package script
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+
+	"quilldoor/internal/settings"
+	"quilldoor/internal/yamlfile"
+	"quilldoor/logic"
+)
+
+// Script is one rehearsal. Fields that are left out get the figures of Default.
+type Script struct {
+	Name     string    `yaml:"-"`
+	About    string    `yaml:"about"`
+	Seed     uint64    `yaml:"seed"`
+	LengthS  float64   `yaml:"length_s"` // all of it; clients come until then
+	SettleS  float64   `yaml:"settle_s"` // of that, before outcomes count
+	Fleet    Fleet     `yaml:"fleet"`
+	Load     Load      `yaml:"load"`
+	Troubles []Trouble `yaml:"troubles"`
+}
+
+// Fleet is what the routers stand before.
+type Fleet struct {
+	Trunks  int `yaml:"trunks"`
+	Offices int `yaml:"offices"` // at the trunks in turn
+	Routers int `yaml:"routers"` // of each office
+	Caches  int `yaml:"caches"`  // of each office
+	Parents int `yaml:"parents"` // of each trunk
+
+	Cores        int     `yaml:"cores"`          // of a cache
+	SlotsPerCore int     `yaml:"slots_per_core"` // txns that it works on or fills at once
+	QueuePerCore int     `yaml:"queue_per_core"` // txns that wait
+	FillsPerCore int     `yaml:"fills_per_core"`
+	Thrash       float64 `yaml:"thrash"` // of its power lost for each txn a core above four
+	KeepsShare   float64 `yaml:"keeps_share"`
+	Orphans      bool    `yaml:"orphans"` // a fill whose txn has left runs on
+
+	FlowKBPerS   float64 `yaml:"flow_kb_per_s"` // to a client, a core
+	LinkShare    float64 `yaml:"link_share"`    // of an office's link in, of what its caches send at full load
+	FillSpeed    float64 `yaml:"fill_speed"`    // a fill's pace, in flows, from the own trunk
+	HomeMS       float64 `yaml:"home_ms"`       // to what stands in the office
+	TrunkMS      float64 `yaml:"trunk_ms"`      // to the own trunk
+	FarMS        float64 `yaml:"far_ms"`        // more for each further one
+	ClientMS     float64 `yaml:"client_ms"`
+	ParentLink   float64 `yaml:"parent_link"`  // of a parent's link out, of the links into its offices
+	ParentKeeps  float64 `yaml:"parent_keeps"` // share of the catalogue
+	ParentJoins  bool    `yaml:"parent_joins"`
+	LedgerWork   int     `yaml:"ledger_workers"`
+	LedgerMS     float64 `yaml:"ledger_ms"`
+	LedgerLink   float64 `yaml:"ledger_link_kb_per_s"` // 0: twice what parents would ask for
+	LedgerRefuse float64 `yaml:"ledger_refuse"`        // above this share of its places taken
+	LedgerStops  float64 `yaml:"ledger_stops"`         // pushed to this multiple for three seconds
+	LedgerStopS  float64 `yaml:"ledger_stop_s"`
+
+	ColdFrom       float64 `yaml:"cold_from"`
+	ColdS          float64 `yaml:"cold_s"`
+	FallMultiple   float64 `yaml:"fall_multiple"`
+	FallMS         float64 `yaml:"fall_ms"`
+	ParentColdFrom float64 `yaml:"parent_cold_from"`
+	ParentColdS    float64 `yaml:"parent_cold_s"`
+
+	ReportMS      float64 `yaml:"report_ms"`
+	ReportDelayMS float64 `yaml:"report_delay_ms"`
+	ReportNoise   float64 `yaml:"report_noise"`
+	BoardMS       float64 `yaml:"board_ms"` // until a router is told of what happened
+	DeathMS       float64 `yaml:"death_ms"` // until the board knows that a process died
+	DrainMS       float64 `yaml:"drain_grace_ms"`
+	PurgeMS       float64 `yaml:"purge_grace_ms"`
+	ClearedMS     float64 `yaml:"cleared_ms"` // until servers have dropped what was purged
+	ErrorShare    float64 `yaml:"error_share"`
+	SecondCopies  bool    `yaml:"second_copies"`
+}
+
+// Load is what clients do.
+type Load struct {
+	TxnsPerS   float64 `yaml:"txns_per_s"`
+	Videos     float64 `yaml:"videos"` // share of txns
+	Writes     float64 `yaml:"writes"`
+	Objects    int     `yaml:"objects"` // of the catalogue
+	Skew       float64 `yaml:"skew"`    // exponent of Zipf's law
+	LocalShare float64 `yaml:"local"`   // of txns that go to objects of one office only
+	DriftS     float64 `yaml:"drift_s"` // after so long one object in a hundred changes its place
+	Retries    int     `yaml:"retries"`
+	WaitMS     float64 `yaml:"wait_ms"` // before a retry; 0: at once
+	Honour     float64 `yaml:"honour"`  // share of clients that keep to X-Throttle-Ms
+	Patience   float64 `yaml:"patience"`
+	FreshS     float64 `yaml:"page_fresh_s"` // 0: a page is good until it is purged
+}
+
+// Trouble is one thing that goes wrong. At, For and Every are seconds.
+type Trouble struct {
+	Kind     string  `yaml:"kind"`
+	At       float64 `yaml:"at"`
+	For      float64 `yaml:"for"`
+	Every    float64 `yaml:"every"`    // pauses come again after so long, waves follow
+	Office   int     `yaml:"office"`   // from 1; 0: all, or any
+	Trunk    int     `yaml:"trunk"`    // from 1; 0: all, or any
+	Share    float64 `yaml:"share"`    // of the servers, groups, objects or txns there; 0: all
+	Strength float64 `yaml:"strength"` // by kind
+}
+
+// Kind says what a trouble's place and strength mean.
+type Kind struct {
+	About    string
+	Place    string  // "caches", "parents", "office", "trunk", "routers" or "" for all
+	Strength float64 // where it isn't told; 0: it has none
+	Least    float64
+	Most     float64
+	Waves    bool // every counts
+}
+
+// Kinds are the troubles there are.
+var Kinds = map[string]Kind{
+	"die":          {About: "caches die with a reset and come back cold and empty", Place: "caches"},
+	"silent":       {About: "caches say nothing more and come back cold and empty", Place: "caches"},
+	"pause":        {About: "caches stand still for strength ms, time and again", Place: "caches", Strength: 200, Least: 1, Most: 5000, Waves: true},
+	"deploy":       {About: "caches are drained in waves; successors start cold and empty", Place: "caches", Strength: 2, Least: 1, Most: 50, Waves: true},
+	"preempt":      {About: "caches are drained and gone strength s later; they come back", Place: "caches", Strength: 1, Least: 0.1, Most: 60},
+	"office_lost":  {About: "all caches of an office are lost and come back cold and empty", Place: "office"},
+	"parents_lost": {About: "all parents of a trunk are lost and come back cold and empty", Place: "trunk"},
+	"purge":        {About: "a share of the groups is purged at once"},
+	"purge_object": {About: "the strength most popular objects are purged one by one", Strength: 10, Least: 1, Most: 10000},
+	"ledger_slow":  {About: "the ledger works strength times slower", Strength: 3, Least: 1, Most: 100},
+	"ledger_stop":  {About: "the ledger answers nothing"},
+	"late_reports": {About: "load reports come strength s later", Strength: 2, Least: 0.01, Most: 60},
+	"late_board":   {About: "the notice board tells strength s later", Strength: 3, Least: 0.01, Most: 60},
+	"cut_board":    {About: "the notice board can't be reached"},
+	"once":         {About: "a share of the txns is for objects wanted once"},
+	"burst":        {About: "strength times the txns", Strength: 2, Least: 0.01, Most: 100},
+	"router_dies":  {About: "routers are killed and start from nothing", Place: "routers"},
+	"resets":       {About: "a share of the answers is a reset in their place", Place: "caches"},
+	"endless":      {About: "a share of the answers never comes", Place: "caches"},
+	"spoilt":       {About: "a share of the answers can't be read: their connection ends", Place: "caches"},
+	"errors":       {About: "a share of the answers is an error without a reason", Place: "caches"},
+}
+
+// Default is the small fleet: three offices at two trunks.
+func Default() Script {
+	return Script{Seed: 1, LengthS: 40, SettleS: 10,
+		Fleet: Fleet{Trunks: 2, Offices: 3, Routers: 1, Caches: 4, Parents: 1, Cores: 5, SlotsPerCore: 5, QueuePerCore: 4,
+			FillsPerCore: 4, Thrash: 0.05, KeepsShare: 0.3, FlowKBPerS: 310, LinkShare: 0.4, FillSpeed: 3, HomeMS: 0.3,
+			TrunkMS: 7, FarMS: 30, ClientMS: 5, ParentLink: 1.3, ParentKeeps: 0.7, LedgerWork: 12, LedgerMS: 40,
+			LedgerRefuse: 0.85, LedgerStops: 2.5, LedgerStopS: 4, ColdFrom: 0.3, ColdS: 12, FallMultiple: 2, FallMS: 1000,
+			ParentColdFrom: 0.1, ParentColdS: 18, ReportMS: 300, ReportDelayMS: 120, ReportNoise: 0.06, BoardMS: 800,
+			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true},
+		Load: Load{TxnsPerS: 120, Videos: 0.54, Writes: 0.034, Objects: 3000, Skew: 0.9, LocalShare: 0.15, DriftS: 10, Retries: 2,
+			WaitMS: 150, Honour: 0.5, Patience: 0.8}}
+}
+
+// Parse reads and checks a script. The name stands before faults.
+func Parse(name string, text []byte) (*Script, error) {
+	s := Default()
+	s.Name = name
+	if err := yamlfile.Read(name, text, &s, s.check); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Script) check() error {
+	f, l := &s.Fleet, &s.Load
+	for _, n := range []struct {
+		key            string
+		v, least, most float64
+	}{
+		{"length_s", s.LengthS, 1, 24 * 3600}, {"settle_s", s.SettleS, 0, s.LengthS},
+		{"fleet.trunks", float64(f.Trunks), 1, 50}, {"fleet.offices", float64(f.Offices), 1, 200},
+		{"fleet.routers", float64(f.Routers), 1, 50}, {"fleet.caches", float64(f.Caches), 1, 200},
+		{"fleet.parents", float64(f.Parents), 0, 50}, {"fleet.cores", float64(f.Cores), 1, 1000},
+		{"fleet.slots_per_core", float64(f.SlotsPerCore), 1, 1000}, {"fleet.queue_per_core", float64(f.QueuePerCore), 0, 1000},
+		{"fleet.fills_per_core", float64(f.FillsPerCore), 1, 1000}, {"fleet.thrash", f.Thrash, 0, 1},
+		{"fleet.keeps_share", f.KeepsShare, 0, 1}, {"fleet.flow_kb_per_s", f.FlowKBPerS, 1, 1e6},
+		{"fleet.link_share", f.LinkShare, 0.01, 100}, {"fleet.fill_speed", f.FillSpeed, 0.1, 100},
+		{"fleet.home_ms", f.HomeMS, 0, 1000}, {"fleet.trunk_ms", f.TrunkMS, 0, 1000}, {"fleet.far_ms", f.FarMS, 0, 1000},
+		{"fleet.client_ms", f.ClientMS, 0, 1000}, {"fleet.parent_link", f.ParentLink, 0.01, 100},
+		{"fleet.parent_keeps", f.ParentKeeps, 0, 1}, {"fleet.ledger_workers", float64(f.LedgerWork), 1, 1e5},
+		{"fleet.ledger_ms", f.LedgerMS, 0.1, 10_000}, {"fleet.ledger_link_kb_per_s", f.LedgerLink, 0, 1e9},
+		{"fleet.ledger_refuse", f.LedgerRefuse, 0.1, 100}, {"fleet.ledger_stops", f.LedgerStops, 1, 1000},
+		{"fleet.ledger_stop_s", f.LedgerStopS, 0.1, 600}, {"fleet.cold_from", f.ColdFrom, 0.01, 1},
+		{"fleet.cold_s", f.ColdS, 0.01, 600}, {"fleet.fall_multiple", f.FallMultiple, 1, 1000},
+		{"fleet.fall_ms", f.FallMS, 10, 60_000}, {"fleet.parent_cold_from", f.ParentColdFrom, 0.01, 1},
+		{"fleet.parent_cold_s", f.ParentColdS, 0.01, 600}, {"fleet.report_ms", f.ReportMS, 1, 60_000},
+		{"fleet.report_delay_ms", f.ReportDelayMS, 0, 60_000}, {"fleet.report_noise", f.ReportNoise, 0, 1},
+		{"fleet.board_ms", f.BoardMS, 0, 60_000}, {"fleet.death_ms", f.DeathMS, 0, 60_000},
+		{"fleet.drain_grace_ms", f.DrainMS, 0, 60_000}, {"fleet.purge_grace_ms", f.PurgeMS, 0, 60_000},
+		{"fleet.cleared_ms", f.ClearedMS, 0, 60_000}, {"fleet.error_share", f.ErrorShare, 0, 1},
+		{"load.txns_per_s", l.TxnsPerS, 0.1, 1e6}, {"load.videos", l.Videos, 0, 1}, {"load.writes", l.Writes, 0, 1 - l.Videos},
+		{"load.objects", float64(l.Objects), 10, 1e6}, {"load.skew", l.Skew, 0, 3}, {"load.local", l.LocalShare, 0, 1},
+		{"load.drift_s", l.DriftS, 0, 1e6}, {"load.retries", float64(l.Retries), 0, 10}, {"load.wait_ms", l.WaitMS, 0, 60_000},
+		{"load.honour", l.Honour, 0, 1}, {"load.patience", l.Patience, 0.05, 1}, {"load.page_fresh_s", l.FreshS, 0, 1e6},
+	} {
+		if !(n.v >= n.least && n.v <= n.most) {
+			return yamlfile.Wrong(n.key, "%g is not within %g and %g", n.v, n.least, n.most)
+		}
+	}
+	// Each txn takes some kilobytes while it is open, each object some hundred bytes.
+	if txns := l.TxnsPerS * s.LengthS; txns > 2e8 {
+		return yamlfile.Wrong("load.txns_per_s", "%.0f txns in all are more than a run should take (200,000,000)", txns)
+	}
+	if n := f.Offices * f.Caches; n > 5000 {
+		return yamlfile.Wrong("fleet.caches", "%d caches in all are more than 5000", n)
+	}
+	if n := f.Offices * f.Routers; n > 500 {
+		return yamlfile.Wrong("fleet.routers", "%d routers in all are more than 500", n)
+	}
+	for i := range s.Troubles {
+		if err := s.Troubles[i].check(s, "troubles["+strconv.Itoa(i)+"]."); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *Trouble) check(s *Script, key string) error {
+	k, known := Kinds[t.Kind]
+	if !known {
+		return yamlfile.Wrong(key+"kind", "%.40q is no trouble", t.Kind)
+	}
+	if t.Strength == 0 {
+		t.Strength = k.Strength
+	}
+	switch {
+	case !(t.At >= 0 && t.At <= s.LengthS):
+		return yamlfile.Wrong(key+"at", "%g is not within the script's %g s", t.At, s.LengthS)
+	case !(t.For >= 0 && t.For <= 24*3600):
+		return yamlfile.Wrong(key+"for", "%g is not within 0 and a day", t.For)
+	case !(t.Share >= 0 && t.Share <= 1):
+		return yamlfile.Wrong(key+"share", "%g is not within 0 and 1", t.Share)
+	case t.Office < 0 || t.Office > s.Fleet.Offices:
+		return yamlfile.Wrong(key+"office", "there is no office %d, only %d", t.Office, s.Fleet.Offices)
+	case t.Trunk < 0 || t.Trunk > s.Fleet.Trunks:
+		return yamlfile.Wrong(key+"trunk", "there is no trunk %d, only %d", t.Trunk, s.Fleet.Trunks)
+	case t.Strength != 0 && k.Strength == 0:
+		return yamlfile.Wrong(key+"strength", "%s has none", t.Kind)
+	case k.Strength != 0 && !(t.Strength >= k.Least && t.Strength <= k.Most):
+		return yamlfile.Wrong(key+"strength", "%g is not within %g and %g", t.Strength, k.Least, k.Most)
+	case t.Every < 0 || t.Every > 0 && !k.Waves:
+		return yamlfile.Wrong(key+"every", "%s does not come again", t.Kind)
+	case t.Every > 0 && t.Every < 0.01:
+		return yamlfile.Wrong(key+"every", "%g is not 0.01 or more", t.Every)
+	}
+	if t.Share == 0 {
+		t.Share = 1
+	}
+	if k.Waves {
+		t.Every = cmp.Or(t.Every, 2)
+	}
+	return nil
+}
+
+// Names are the kinds of trouble in order.
+func Names() (names []string) {
+	for n := range Kinds {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Rules of the emulated deployment, in the order of the settings.
+const (
+	Video = iota
+	Page
+	Accept
+)
+
+// Of the remap rules: times in ms.
+var ruleTimes = []struct{ sla, limit, stretch, value, late, stale float64 }{
+	Video:  {600, 5000, 2, 2, 0.2, 0.5},
+	Page:   {300, 2500, 2, 1, 0.2, 0.5},
+	Accept: {600, 3000, 1, 6, 0.3, 0},
+}
+
+// Zone names an office, from 0.
+func Zone(office int) string { return "office-" + strconv.Itoa(office+1) }
+
+// Trunk is where an office hangs, from 0.
+func (f *Fleet) Trunk(office int) int { return office % f.Trunks }
+
+// Settings are what a router of an office is handed, in the platform's words.
+func (s *Script) Settings(office, rank int) settings.Setup {
+	f := &s.Fleet
+	var set settings.Setup
+	set.Rank, set.Siblings, set.Zone = rank, f.Offices*f.Routers, Zone(office)
+	set.Kinds = []string{"box", "hub", "ledger"}
+	for i := range f.Offices {
+		set.Zones = append(set.Zones, Zone(i))
+		set.FamilyInfo.HubByZone = append(set.FamilyInfo.HubByZone, f.Trunk(i))
+		set.FamilyInfo.ZoneBalancers = append(set.FamilyInfo.ZoneBalancers, f.Routers)
+		set.FamilyInfo.FeedKbPerS = append(set.FamilyInfo.FeedKbPerS, f.OfficeLink())
+	}
+	names := []string{"demo-video", "quote-page", "quote-accept"}
+	for i, r := range ruleTimes {
+		set.Classes = append(set.Classes, struct {
+			Name, Effect, Group             string
+			DedupWindowMs, TargetMs         float64
+			GiveUpMs, AimStretch, LateShare float64
+			Value                           float64
+			Streamed                        bool
+		}{Name: names[i], Effect: "safe", TargetMs: r.sla, GiveUpMs: r.limit, AimStretch: r.stretch, LateShare: r.late, Value: r.value})
+	}
+	set.Classes[Accept].Effect = "unsafe"
+	fi := &set.FamilyInfo
+	// Good until purged is told as a day.
+	const day = 24 * 3600 * 1000
+	fi.GoodForMs, fi.ClassGraceMs = []float64{day, cmp.Or(s.Load.FreshS*1000, day), 0}, []float64{0, 0, 0}
+	if s.Load.FreshS > 0 {
+		fi.ClassGraceMs[Page] = s.Load.FreshS * 1000
+	}
+	for _, r := range ruleTimes {
+		fi.WorthWhenOld = append(fi.WorthWhenOld, r.stale)
+	}
+	fi.GoesThrough, fi.MultiPart = []bool{false, false, true}, []bool{true, false, false}
+	fi.BypassAllowed, fi.MasterKind = true, 2
+	if parent := 1; f.Parents > 0 {
+		fi.SecondTierKind = &parent
+	}
+	fi.ClearedWithinMs, fi.PurgeGraceMs, fi.FlowKbPerS = f.ClearedMS, f.PurgeMS, f.FlowKBPerS
+	fi.LinkPrice, fi.NotesGiven, fi.Sideways = 0.02, "all", "none"
+	fi.OriginFallMs, fi.OriginFallMultiple = 3000, f.LedgerStops
+	fi.ParentColdFrom, fi.ParentRampMs, fi.UpperFallMultiple = f.ParentColdFrom, f.ParentColdS*1000, f.FallMultiple
+	set.Contract.AnswerSlackMs, set.Contract.DrainGraceMs = 8, f.DrainMS
+	set.Contract.ColdFrom, set.Contract.ColdMs = f.ColdFrom, f.ColdS*1000
+	set.Contract.FallMs, set.Contract.FallMultiple = f.FallMS, f.FallMultiple
+	l := &set.Limits
+	l.Cancel, l.RetryAfter, l.SecondCopies, l.MostTries = true, true, f.SecondCopies, 6
+	l.StreamsPerConn, l.MaxRetryAfterMs, l.ConnectTimeoutMs, l.ConnIdleMs = 32, 500, 400, 15_000
+	set.LoadReport.Fields, set.LoadReport.How = []string{"util", "x0", "x1"}, "inline"
+	set.Discovery, set.WeightKind, set.Callers.MarksRetry = "push", "rough", true
+	return set
+}
+
+// OfficeLink is an office's link in, KB a second.
+func (f *Fleet) OfficeLink() float64 {
+	return f.LinkShare * float64(f.Caches*f.Cores) * f.FlowKBPerS
+}
+
+// Rules are the remap rules as decisions have them.
+func (s *Script) Rules() []logic.RemapRule {
+	set := s.Settings(0, 0)
+	return set.Logic().Rules
+}
--- /dev/null
+++ b/internal/world/catalogue.go
@@ -0,0 +1,148 @@
+package world
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"quilldoor/internal/script"
+)
+
+const (
+	groupCount = 256
+	partBits   = 8 // of a key: the part
+	onceFrom   = int64(1) << 40
+)
+
+// catalogue is what clients ask for: videos of several parts and pages, some of
+// them wanted at one office only. An object is a number; its figures follow from
+// that and the seed.
+type catalogue struct {
+	set      *script.Script
+	salt     uint64
+	objects  int64
+	ranks    [2][]int64 // by rule: the objects by popularity
+	popular  [2]distuv.Categorical
+	once     int64
+	allKB    float64
+	officeKB float64 // what one office can want
+}
+
+func keyOf(object, part int64) int64 { return object<<partBits | part&(1<<partBits-1) }
+
+func newCatalogue(s *script.Script, dice *rand.Rand) *catalogue {
+	c := &catalogue{set: s, salt: dice.Uint64(), objects: int64(s.Load.Objects)}
+	for rule := range c.ranks {
+		var weights []float64
+		for i := range int(c.objects) / 2 {
+			c.ranks[rule] = append(c.ranks[rule], int64(i)*2+int64(rule))
+			weights = append(weights, math.Pow(float64(i+1), -s.Load.Skew))
+		}
+		c.popular[rule] = distuv.NewCategorical(weights, dice)
+	}
+	local := 0.0
+	for i := range c.objects / 2 * 2 {
+		for p := range c.parts(i) {
+			kb := c.size(i, p)
+			c.allKB += kb
+			if c.home(i) >= 0 {
+				local += kb
+			}
+		}
+	}
+	c.officeKB = c.allKB - local + local/float64(s.Fleet.Offices)
+	return c
+}
+
+// mix is a hash of an object's number and a purpose (SplitMix64's finish).
+func (c *catalogue) mix(object int64, purpose uint64) uint64 {
+	z := uint64(object)*0x9e3779b97f4a7c15 + c.salt + purpose*0xbf58476d1ce4e5b9
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
+
+func (c *catalogue) even(object int64, purpose uint64) float64 {
+	return float64(c.mix(object, purpose)>>11) / (1 << 53)
+}
+
+// rule of an object: even numbers are videos, odd ones pages.
+func (c *catalogue) rule(object int64) int { return int(object & 1) }
+
+func (c *catalogue) group(object int64) int64 { return int64(c.mix(object, 1) % groupCount) }
+
+func (c *catalogue) parts(object int64) int64 {
+	if c.rule(object) == script.Page {
+		return 1
+	}
+	return 9 + int64(c.mix(object, 2)%11)
+}
+
+// size of a part in KB: even in its logarithm, the last part of a video shorter.
+func (c *catalogue) size(object, part int64) float64 {
+	if c.rule(object) == script.Page {
+		return 6 * math.Pow(10, c.even(object, 3))
+	}
+	kb := 40 * math.Pow(5.8, c.even(object, 3))
+	if part == c.parts(object)-1 {
+		kb *= 0.3 + 0.6*c.even(object, 4)
+	}
+	return kb
+}
+
+// home is the one office at which an object is wanted, or -1.
+func (c *catalogue) home(object int64) int {
+	if object < onceFrom && c.even(object, 5) < c.set.Load.LocalShare {
+		return int(c.mix(object, 6) % uint64(c.set.Fleet.Offices))
+	}
+	return -1
+}
+
+// draw picks an object for an office by popularity.
+func (c *catalogue) draw(rule, office int) int64 {
+	const tries = 8 // an object at home elsewhere is drawn again
+	for range tries {
+		o := c.ranks[rule][int(c.popular[rule].Rand())]
+		if h := c.home(o); h < 0 || h == office {
+			return o
+		}
+	}
+	return c.ranks[rule][0]
+}
+
+// onlyOnce makes an object that nobody wants again.
+func (c *catalogue) onlyOnce(rule int) int64 {
+	c.once++
+	return onceFrom + c.once*2 + int64(rule)
+}
+
+// drift lets one object in a hundred change its place with another.
+func (c *catalogue) drift(dice *rand.Rand) {
+	for _, list := range c.ranks {
+		for range len(list)/100 + 1 {
+			a, b := dice.IntN(len(list)), dice.IntN(len(list))
+			list[a], list[b] = list[b], list[a]
+		}
+	}
+}
+
+func (c *catalogue) name(object int64) string { return "o" + strconv.FormatInt(object, 36) }
+
+// id of a name that a router sends; -1: it is none of ours.
+func (c *catalogue) id(name string) int64 {
+	text, ok := strings.CutPrefix(name, "o")
+	if !ok {
+		return -1
+	}
+	id, err := strconv.ParseInt(text, 36, 64)
+	if err != nil {
+		return -1
+	}
+	return id
+}
+
+func zoneName(office int) string { return script.Zone(office) }
+func trunkName(trunk int) string { return "trunk-" + strconv.Itoa(trunk+1) }
--- /dev/null
+++ b/internal/world/clients.go
@@ -0,0 +1,230 @@
+package world
+
+import (
+	"fmt"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"quilldoor/internal/script"
+)
+
+// clients is how requests come about: pages and acceptances one by one, videos
+// as viewers who ask for part after part.
+type clients struct {
+	n    uint64
+	wait distuv.Exponential
+}
+
+// client is one request with all its tries.
+type client struct {
+	office, rule int
+	object, part int64
+	tries        int
+	first        int64
+	view         *view // of which it is a part
+	phase        string
+	patience     int64
+	honours      bool
+}
+
+type view struct {
+	office int
+	object int64
+	part   int64
+}
+
+func (w *World) startClients() {
+	w.clients.wait = distuv.Exponential{Rate: 1, Src: w.dice}
+	for o := range w.set.Fleet.Offices {
+		w.after(0, func() { w.arrive(o) })
+	}
+	if d := w.set.Load.DriftS; d > 0 {
+		var drift func()
+		drift = func() {
+			w.cat.drift(w.dice)
+			w.after(int64(d*1e6), drift)
+		}
+		w.after(int64(d*1e6), drift)
+	}
+}
+
+// meanParts is what a viewer asks for on average, with a chance of a tenth to
+// stop after each.
+const (
+	meanParts = 7.2
+	stopEach  = 0.1
+)
+
+// arrive is one office's clients: the next comes by chance.
+func (w *World) arrive(office int) {
+	l := &w.set.Load
+	end := int64(w.set.LengthS * 1e6)
+	if w.now >= end {
+		return
+	}
+	rate := l.TxnsPerS / float64(w.set.Fleet.Offices) * w.burst
+	page, video := 1-l.Videos-l.Writes, l.Videos/meanParts
+	total := page + video + l.Writes
+	w.after(int64(w.clients.wait.Rand()*1e6/(rate*total))+1, func() { w.arrive(office) })
+	switch x := w.dice.Float64() * total; {
+	case x < l.Writes:
+		w.begin(&client{office: office, rule: script.Accept, object: w.cat.onlyOnce(script.Page)})
+	case x < l.Writes+page:
+		w.begin(&client{office: office, rule: script.Page, object: w.pick(script.Page, office)})
+	default:
+		v := &view{office: office, object: w.pick(script.Video, office)}
+		w.watch(v)
+	}
+}
+
+func (w *World) pick(rule, office int) int64 {
+	if w.onceShare > 0 && w.dice.Float64() < w.onceShare {
+		return w.cat.onlyOnce(rule)
+	}
+	return w.cat.draw(rule, office)
+}
+
+// watch asks for a video's next part, and for the one after it some time later.
+func (w *World) watch(v *view) {
+	w.begin(&client{office: v.office, rule: script.Video, object: v.object, part: v.part, view: v})
+	if v.part++; w.now < int64(w.set.LengthS*1e6) && v.part < w.cat.parts(v.object) && w.dice.Float64() > stopEach {
+		w.after(int64(4e5+w.dice.Float64()*3.5e5), func() { w.watch(v) })
+	}
+}
+
+func (w *World) begin(c *client) {
+	l := &w.set.Load
+	c.first, c.honours = w.now, w.dice.Float64() < l.Honour
+	c.patience = int64(float64(w.rules[c.rule].TimeLimit) * l.Patience)
+	c.phase = w.phase()
+	w.Result.asked(w, c)
+	w.live++
+	w.try(c)
+}
+
+// phase names the part of the run for the counts.
+func (w *World) phase() string {
+	switch {
+	case w.now < int64(w.set.SettleS*1e6):
+		return "settle"
+	case w.troubled > 0:
+		return "trouble"
+	}
+	return "calm"
+}
+
+// try sends a request to one of the office's routers that the front knows as up.
+func (w *World) try(c *client) {
+	const noticed = 1 * second // a dead router gets clients for so long
+	f := &w.set.Fleet
+	var up []*router
+	for _, r := range w.routers[c.office*f.Routers : (c.office+1)*f.Routers] {
+		if r.up || w.now-r.downAt < noticed {
+			up = append(up, r)
+		}
+	}
+	c.tries++
+	if len(up) == 0 {
+		w.again(c, 0, true)
+		return
+	}
+	r := up[w.dice.IntN(len(up))]
+	w.clients.n++
+	a := &Ask{Router: r.id, Txn: fmt.Sprintf("%016x", w.clients.n), Rule: c.rule, Object: w.cat.name(c.object),
+		Group: w.cat.group(c.object), Part: c.part, SizeKB: w.cat.size(c.object, c.part), Limit: c.patience,
+		Again: c.tries > 1, Write: w.rules[c.rule].Write, client: c, sent: w.now, deadline: w.now + c.patience}
+	if a.Write {
+		a.SizeKB = 1
+	}
+	way := w.jitter(f.ClientMS * 500)
+	w.after(way, func() {
+		if !r.up { // refused: it never ran
+			w.after(way, func() { w.again(c, 0, true) })
+			return
+		}
+		a.open = true
+		r.open[a.Txn] = a
+		r.openSeq = append(r.openSeq, a.Txn)
+		if len(r.openSeq) > 64 && len(r.openSeq) > 2*len(r.open) {
+			r.compact()
+		}
+		w.Result.Taken++
+		w.note(Entry{Kind: "taken", Router: r.id, Txn: a.Txn, Rule: w.rules[a.Rule].Name, Object: a.Object, Group: a.Group,
+			Deadline: a.deadline})
+		// What the router is told is how long the client waits from when it sent.
+		a.Limit = a.deadline - w.now
+		w.driver.Ask(a)
+	})
+	w.after(c.patience+2*way, func() { w.lost(r, a) })
+}
+
+func (r *router) compact() {
+	list := r.openSeq[:0]
+	for _, id := range r.openSeq {
+		if r.open[id] != nil {
+			list = append(list, id)
+		}
+	}
+	r.openSeq = list
+}
+
+// lost is a client whose time is over without an answer.
+func (w *World) lost(r *router, a *Ask) {
+	if !a.open {
+		return
+	}
+	a.open = false
+	delete(r.open, a.Txn)
+	w.note(Entry{Kind: "left", Router: r.id, Txn: a.Txn})
+	w.Result.Lost++
+	w.driver.Leave(r.id, a.Txn)
+	w.again(a.client, 0, a.client.rule != script.Accept)
+}
+
+// Final takes a router's answer to a txn: "completed", "rejected" or "aborted".
+// Issued is that of the copy.
+func (w *World) Final(router int, txn, outcome string, issued, stay int64) {
+	r := w.routers[router]
+	a := r.open[txn]
+	e := Entry{Kind: "final", Router: router, Txn: txn, Outcome: outcome, Issued: issued}
+	if a != nil {
+		e.Rule, e.Object, e.Group, e.Deadline = w.rules[a.Rule].Name, a.Object, a.Group, a.deadline
+	}
+	w.note(e)
+	if a == nil {
+		return
+	}
+	a.open = false
+	delete(r.open, txn)
+	c := a.client
+	w.after(w.jitter(w.set.Fleet.ClientMS*500), func() {
+		if w.now > a.deadline+50*ms {
+			outcome = "late"
+		}
+		if outcome == "completed" {
+			w.live--
+			w.Result.completed(w, c, issued)
+			return
+		}
+		w.again(c, stay, outcome == "rejected" || w.rules[c.rule].Effect == "safe")
+	})
+}
+
+// again is a client that got no answer it can use. It tries again where that is
+// harmless, after a wait.
+func (w *World) again(c *client, stay int64, harmless bool) {
+	l := &w.set.Load
+	if !harmless || c.tries > l.Retries {
+		w.live--
+		w.Result.failed(w, c, harmless)
+		return
+	}
+	wait := int64(0)
+	if l.WaitMS > 0 {
+		wait = w.jitter(l.WaitMS * 1000 * float64(int64(1)<<min(c.tries-1, 6)))
+	}
+	if c.honours {
+		wait = max(wait, stay)
+	}
+	w.after(wait, func() { w.try(c) })
+}
--- /dev/null
+++ b/rehearsals/rehearsals.go
@@ -0,0 +1,37 @@
+// Package rehearsals holds the library of scripted incidents.
+package rehearsals
+
+import (
+	"embed"
+	"fmt"
+	"io/fs"
+	"os"
+	"strings"
+
+	"quilldoor/internal/script"
+)
+
+//go:embed *.yaml
+var files embed.FS
+
+// Names are those of the library, in order.
+func Names() (names []string) {
+	list, _ := fs.Glob(files, "*.yaml")
+	for _, n := range list {
+		names = append(names, strings.TrimSuffix(n, ".yaml"))
+	}
+	return names
+}
+
+// Load reads a rehearsal of the library by its name, or a file.
+func Load(name string) (*script.Script, error) {
+	text, err := files.ReadFile(name + ".yaml")
+	if err == nil {
+		return script.Parse(name, text)
+	}
+	text, err = os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("%s is no rehearsal of the library, and: %w", name, err)
+	}
+	return script.Parse(name, text)
+}
