Play rehearsals on loopback against router processes; a demo

Need: the model is to run real routers, and nobody without a fleet can see the router serve. Change: internal/emulate/sockets.go plays the same world in real time: clients' HTTP, the lines of caches, the board's polls; quilldoor-lab demo starts a small fleet with a router before it.

--- a/cmd/quilldoor-lab/emulate.go
+++ b/cmd/quilldoor-lab/emulate.go
@@ -94,10 +94,10 @@
 }
 
 // progress tells of runs that last.
-func progress(ctx context.Context) func(float64) {
+func progress(ctx context.Context) func(float64, []world.Second) {
 	const first, every = 3 * time.Second, 2 * time.Second
 	next := time.Now().Add(first)
-	return func(done float64) {
+	return func(done float64, _ []world.Second) {
 		if now := time.Now(); now.After(next) && ctx.Err() == nil {
 			next = now.Add(every)
 			fmt.Fprintf(os.Stderr, "%3.0f%%\n", 100*done)
--- /dev/null
+++ b/internal/emulate/server.go
@@ -0,0 +1,281 @@
+package emulate
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"quilldoor/internal/lines"
+	"quilldoor/internal/record"
+	"quilldoor/internal/script"
+	"quilldoor/internal/world"
+)
+
+// place is where one router finds one server. Its books are the loop's.
+type place struct {
+	*process
+	server   string
+	addr     string
+	listener net.Listener // nil: down, connections are refused
+	conns    map[*lineConn]struct{}
+}
+
+// place finds a server's place, or makes it.
+func (r *process) place(server string) (*place, error) {
+	if p := r.places[server]; p != nil {
+		return p, nil
+	}
+	p := &place{process: r, server: server, addr: "127.0.0.1:0", conns: map[*lineConn]struct{}{}}
+	r.places[server] = p
+	return p, p.open()
+}
+
+func (p *place) open() error {
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		return fmt.Errorf("server %s: %w", p.server, err)
+	}
+	p.addr, p.listener = l.Addr().String(), l
+	p.all.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.all.Go(func() { p.serve(c, l) })
+		}
+	})
+	p.all.Go(func() {
+		<-p.ctx.Done()
+		l.Close()
+	})
+	return nil
+}
+
+// turn follows the server's life: a dead one resets its connections and refuses
+// new ones; a silent one keeps them and says nothing.
+func (p *place) turn(up, silent bool) {
+	if up || !silent {
+		for c := range p.conns {
+			c.reset()
+		}
+	}
+	if !up && !silent && p.listener != nil {
+		p.listener.Close()
+		p.listener = nil
+	}
+	if up && p.listener == nil {
+		if err := p.open(); err != nil {
+			p.failed(err)
+		}
+	}
+}
+
+// lineConn is a router's connection to a server.
+type lineConn struct {
+	net.Conn
+	place *place
+	hops  map[string]*lineHop // the loop's
+
+	mu    sync.Mutex
+	queue [][]byte
+	more  chan struct{}
+	gone  bool
+}
+
+// lineHop is a hop on a connection.
+type lineHop struct {
+	conn *lineConn
+	id   string
+	n    int
+	body []byte // of a write
+}
+
+// serve reads a router's commands.
+func (p *place) serve(sock net.Conn, l net.Listener) {
+	c := &lineConn{Conn: sock, place: p, hops: map[string]*lineHop{}, more: make(chan struct{}, 1)}
+	defer sock.Close()
+	stop := make(chan struct{})
+	defer close(stop)
+	p.all.Go(func() {
+		select {
+		case <-p.ctx.Done():
+			sock.Close()
+		case <-stop:
+		}
+	})
+	p.send(func() {
+		if p.listener == l {
+			p.conns[c] = struct{}{}
+		} else {
+			c.reset()
+		}
+	})
+	p.all.Go(c.write)
+	defer func() {
+		c.end()
+		p.send(func() { p.leave(c) })
+	}()
+	r := bufio.NewReaderSize(sock, 16<<10)
+	for {
+		cmd, err := lines.ReadCommand(r)
+		if err != nil {
+			return
+		}
+		switch {
+		case cmd.Get != nil:
+			body := make([]byte, cmd.Get.Length)
+			if _, err := io.ReadFull(r, body); err != nil {
+				return
+			}
+			if err := lines.ReadEnd(r); err != nil {
+				return
+			}
+			p.send(func() { p.hop(c, cmd.Get, body) })
+		case cmd.Drop != "":
+			p.send(func() { p.drop(c, cmd.Drop) })
+		default:
+			c.put([]byte(cmd.Ping + " READY\r\n"))
+		}
+	}
+}
+
+// hop hands a hop to the world.
+func (p *place) hop(c *lineConn, g *lines.Get, body []byte) {
+	x := p.asks[g.ID]
+	if x == nil && p.conf.Guests {
+		x = p.guest(g)
+	}
+	if x == nil { // its client has just left, or the id is none of ours
+		c.put(lines.AppendAnswer(nil, &lines.Answer{ID: g.ID, Word: lines.Stale}))
+		c.put([]byte("\r\n"))
+		return
+	}
+	h := &lineHop{conn: c, id: g.ID, n: x.hops, body: body}
+	x.hops++
+	c.hops[g.ID] = h
+	p.world.Hop(&world.Hop{Router: p.id, Txn: g.ID, N: h.n, Server: p.server, Source: g.Source, Rank: g.Rank, Mode: g.Mode,
+		Within: g.Age * 1000, Rule: x.Rule, Object: x.Object, Part: x.Part, Group: x.Group, SizeKB: x.SizeKB, Write: x.Write, Tag: h})
+}
+
+// guest makes a txn of somebody else's request, such as a person's by curl. The
+// record has it as given up when its time is over.
+func (p *place) guest(g *lines.Get) *asked {
+	rule, group, kb, known := p.world.Object(g.Object, g.Part)
+	if !known || p.world.RuleOf(rule).Name != g.Class {
+		return nil
+	}
+	a := &world.Ask{Router: p.id, Txn: g.ID, Rule: rule, Object: g.Object, Part: g.Part, Group: group, SizeKB: kb}
+	x := &asked{Ask: a, cancel: func() {}}
+	p.asks[g.ID] = x
+	now := p.world.Now()
+	p.Note(&record.Entry{Kind: "taken", At: now, Router: p.id, Txn: g.ID, Rule: g.Class, Object: g.Object, Group: group,
+		Deadline: now + g.Budget*1000})
+	time.AfterFunc(time.Duration(g.Budget)*time.Millisecond, func() {
+		p.send(func() {
+			if p.asks[g.ID] == x {
+				delete(p.asks, g.ID)
+				p.Note(&record.Entry{Kind: "final", At: p.world.Now(), Router: p.id, Txn: g.ID, Outcome: "aborted"})
+			}
+		})
+	})
+	return x
+}
+
+func (p *place) drop(c *lineConn, id string) {
+	if h := c.hops[id]; h != nil {
+		delete(c.hops, id)
+		p.world.Cancel(p.id, id, h.n)
+	}
+}
+
+// leave gives up all that is open on a connection that has ended.
+func (p *place) leave(c *lineConn) {
+	delete(p.conns, c)
+	for id := range c.hops {
+		p.drop(c, id)
+	}
+}
+
+var (
+	answerOf  = map[string]lines.Word{"done": lines.Ack, "busy": lines.Again, "enoent": lines.NoEnt, "err": lines.EIO}
+	garbage   = []byte("%% ACK entity\r\n")
+	secondKey = "recorded "
+)
+
+// end writes the world's end of a hop.
+func (h *lineHop) end(w *world.Hop, e world.End) {
+	c := h.conn
+	if c.hops[h.id] != h {
+		return
+	}
+	delete(c.hops, h.id)
+	word, known := answerOf[e.Code]
+	if !known || e.Spoilt { // a reset, or what can't be read and then the end
+		if e.Spoilt {
+			c.put(garbage)
+		}
+		c.reset()
+		return
+	}
+	a := lines.Answer{ID: h.id, Word: word, Note: e.Note, Delay: float64(e.Waited) / 1000, Load: e.Load}
+	var body []byte
+	if word == lines.Ack {
+		if w.Rule == script.Accept {
+			body = append([]byte(secondKey), h.body...)
+		} else {
+			body = bodyOf(w.Object, w.Part, e.Issued, w.SizeKB)
+			a.Issued = max(c.place.unixMS(e.Issued), 1)
+			a.Tag = fmt.Sprintf("%s.%d.%d", w.Object, w.Part, e.Issued)
+		}
+	}
+	a.Length = len(body)
+	c.put(append(append(lines.AppendAnswer(nil, &a), body...), "\r\n"...))
+}
+
+// put queues bytes. What a connection may have waiting is bounded by its streams.
+func (c *lineConn) put(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone {
+		return
+	}
+	c.queue = append(c.queue, b)
+	select {
+	case c.more <- struct{}{}:
+	default:
+	}
+}
+
+func (c *lineConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gone {
+		c.gone = true
+		close(c.more)
+	}
+}
+
+func (c *lineConn) write() {
+	for range c.more {
+		c.mu.Lock()
+		list := net.Buffers(c.queue)
+		c.queue = nil
+		c.mu.Unlock()
+		if _, err := list.WriteTo(c.Conn); err != nil {
+			return
+		}
+	}
+}
+
+// reset ends the connection as a dying process does.
+func (c *lineConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+	c.end()
+}
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -1,18 +1,570 @@
 package emulate
 
 import (
+	"bytes"
+	"cmp"
 	"context"
-	"errors"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
 
+	"quilldoor/internal/record"
+	"quilldoor/internal/referee"
 	"quilldoor/internal/script"
+	"quilldoor/internal/world"
 )
 
 // Routers are the processes to play against.
 type Routers struct {
-	Program string
+	Program string         // "": quilldoor beside the running program
+	Listen  string         // of the first router; "": any port
+	Ready   func([]string) // told the routers' addresses once all are ready
+	Log     io.Writer      // what routers log; nil: kept only for the report of a death
+	Guests  bool           // requests that are none of the world's are served, too
 }
 
-// Sockets plays a script on loopback.
-func Sockets(ctx context.Context, s *script.Script, opt Options, r Routers) (*Result, error) {
-	return nil, errors.New("not there yet")
+// slackOnSockets is how much longer answers may take: the platform's 50 ms and the
+// module's 8.
+const slackOnSockets = 58_000
+
+// mostListeners bounds the descriptors: each router has an address of its own for
+// each server.
+const mostListeners = 3000
+
+// sockets is a run on loopback. Its loop is the one goroutine that touches the
+// world and what is below it; all others send it what comes in.
+type sockets struct {
+	opt     Options
+	set     *script.Script
+	world   *world.World
+	referee *referee.Referee
+	routers []*process
+	client  *http.Client
+	start   time.Time
+	in      chan func()
+	dir     string
+	fail    chan error
+	cancel  context.CancelFunc
+	ctx     context.Context
+	all     sync.WaitGroup
+	conf    Routers
+}
+
+// process is a router and what it alone talks to.
+type process struct {
+	*sockets
+	id      int
+	listen  string
+	starts  int
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	killed  bool
+	log     tail
+	events  []string // of the board, from 1 at each start
+	changed chan struct{}
+	board   net.Listener
+	places  map[string]*place // by server
+	asks    map[string]*asked
+}
+
+// asked is a txn that the router has, with its hops so far.
+type asked struct {
+	*world.Ask
+	hops   int
+	cancel context.CancelFunc
+}
+
+// Sockets plays a script in real time: it listens on loopback for all that routers
+// talk to, and starts a router process for each.
+func Sockets(ctx context.Context, s *script.Script, opt Options, conf Routers) (*Result, error) {
+	f := &s.Fleet
+	routers := f.Offices * f.Routers
+	if n := routers * (f.Offices*f.Caches + f.Trunks*f.Parents + 1); n > mostListeners {
+		return nil, fmt.Errorf("%s: %d routers and their servers take %d listeners, %d at most: play it on the virtual clock",
+			s.Name, routers, n, mostListeners)
+	}
+	program, err := findProgram(conf.Program)
+	if err != nil {
+		return nil, err
+	}
+	conf.Program = program
+	dir, err := os.MkdirTemp("", "quilldoor-lab-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	ctx, cancel := context.WithCancel(ctx)
+	v := &sockets{opt: opt, set: s, referee: referee.New(Figures(s, slackOnSockets)), in: make(chan func(), 4096), dir: dir,
+		fail: make(chan error, 1), ctx: ctx, cancel: cancel, conf: conf,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200, IdleConnTimeout: 4 * time.Second, DisableCompression: true}}}
+	defer func() {
+		cancel()
+		for _, r := range v.routers {
+			r.end()
+		}
+		v.client.CloseIdleConnections()
+		v.all.Wait()
+	}()
+	v.world = world.New(s, opt.Seed, v)
+	v.world.Slack = slackOnSockets
+	for i := range v.world.Routers() {
+		r := &process{sockets: v, id: i, places: map[string]*place{}, asks: map[string]*asked{}, changed: make(chan struct{})}
+		v.routers = append(v.routers, r)
+		if err := r.prepare(); err != nil {
+			return nil, err
+		}
+	}
+	v.start = time.Now()
+	for _, r := range v.routers {
+		if err := r.run(v.world.Known()); err != nil {
+			return nil, err
+		}
+	}
+	var addrs []string
+	for _, r := range v.routers {
+		if err := r.ready(); err != nil {
+			return nil, err
+		}
+		addrs = append(addrs, r.listen)
+	}
+	if conf.Ready != nil {
+		conf.Ready(addrs)
+	}
+	v.start = time.Now()
+	if err := v.loop(); err != nil {
+		return nil, err
+	}
+	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged}, nil
+}
+
+func findProgram(name string) (string, error) {
+	if name == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		name = filepath.Join(filepath.Dir(self), "quilldoor")
+	}
+	if _, err := os.Stat(name); err != nil {
+		return "", fmt.Errorf("the router's program: %w", err)
+	}
+	return name, nil
+}
+
+func (v *sockets) now() int64 { return time.Since(v.start).Microseconds() }
+
+// unixMS is the world's time as the platform tells times; births before the run
+// are 0.
+func (v *sockets) unixMS(at int64) int64 { return v.start.UnixMilli() + at/1000 }
+
+// loop plays the world by the real clock until it is over.
+func (v *sockets) loop() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	told := int64(0)
+	for end := v.world.Length(); ; {
+		now := v.now()
+		if v.world.Over() || now > end {
+			return nil
+		}
+		for v.world.Next() <= now && v.world.Step(now) {
+		}
+		if at := now / 1_000_000; at > told && v.opt.Progress != nil {
+			told = at
+			v.opt.Progress(float64(now)/float64(end), v.world.Result.Timeline)
+		}
+		timer.Reset(time.Duration(max(min(v.world.Next()-v.now(), 100_000), 0)) * time.Microsecond)
+		select {
+		case do := <-v.in:
+			v.world.At(v.now())
+			do()
+		case <-timer.C:
+		case err := <-v.fail:
+			return err
+		case <-v.ctx.Done():
+			return v.ctx.Err()
+		}
+	}
+}
+
+// send gives the loop something to do, unless the run is over.
+func (v *sockets) send(do func()) {
+	select {
+	case v.in <- do:
+	case <-v.ctx.Done():
+	}
+}
+
+// ---- What the world says ----
+
+// Ask sends a client's request.
+func (v *sockets) Ask(a *world.Ask) {
+	r := v.routers[a.Router]
+	ctx, cancel := context.WithCancel(v.ctx)
+	x := &asked{Ask: a, cancel: cancel}
+	r.asks[a.Txn] = x
+	listen := r.listen
+	v.all.Go(func() {
+		outcome, issued, stay, wrong := v.request(ctx, listen, a)
+		v.send(func() {
+			cancel()
+			if wrong != "" {
+				v.Note(&record.Entry{Kind: "wrong", At: v.world.Now(), Router: a.Router, Txn: a.Txn, State: wrong})
+			}
+			if outcome != "" && r.asks[a.Txn] == x {
+				delete(r.asks, a.Txn)
+				v.world.Final(a.Router, a.Txn, outcome, issued, stay)
+			}
+		})
+	})
+}
+
+// request is a try over HTTP. No outcome: there was no answer.
+func (v *sockets) request(ctx context.Context, listen string, a *world.Ask) (outcome string, issued, stay int64, wrong string) {
+	method, body := "GET", []byte(nil)
+	if a.Write {
+		method, body = "PUT", []byte("accepted "+a.Txn)
+	}
+	name := v.world.RuleOf(a.Rule).Name
+	url := "http://" + listen + "/rpc/" + name + "/" + a.Object
+	if a.Rule == script.Video {
+		url += "/n-" + strconv.FormatInt(a.Part, 10)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	q.Header.Set("X-Txn", a.Txn)
+	q.Header.Set("X-Ttl-Ms", strconv.FormatInt(max(a.Limit/1000, 1), 10))
+	q.Header.Set("X-Shard", strconv.FormatInt(a.Group, 10))
+	if a.Again {
+		q.Header.Set("X-Second-Try", "1")
+	}
+	res, err := v.client.Do(q)
+	if err != nil {
+		return
+	}
+	defer res.Body.Close()
+	got, err := io.ReadAll(res.Body)
+	if err != nil {
+		return
+	}
+	switch res.StatusCode {
+	case 200:
+		if a.Write {
+			if string(got) != "recorded accepted "+a.Txn {
+				wrong = fmt.Sprintf("%.40q for an acceptance", got)
+			}
+			return "completed", 0, 0, wrong
+		}
+		issued, wrong = readBody(got, a)
+		return "completed", issued, 0, wrong
+	case 429, 503:
+		ms, _ := strconv.ParseInt(res.Header.Get("X-Throttle-Ms"), 10, 32)
+		return "rejected", 0, ms * 1000, ""
+	}
+	return "aborted", 0, 0, ""
+}
+
+// bodyOf is a copy's bytes: they tell what it is and when it was given out.
+func bodyOf(object string, part, issued int64, kb float64) []byte {
+	line := fmt.Appendf(nil, "%s/%d@%d;", object, part, issued)
+	n := max(int(kb*1000), len(line))
+	b := bytes.Repeat(line, n/len(line)+1)
+	return b[:n]
+}
+
+func readBody(got []byte, a *world.Ask) (issued int64, wrong string) {
+	line, _, _ := bytes.Cut(got, []byte(";"))
+	at := bytes.LastIndexByte(line, '@')
+	if at < 0 {
+		return 0, fmt.Sprintf("%.40q", line)
+	}
+	issued, err := strconv.ParseInt(string(line[at+1:]), 10, 64)
+	if err != nil || !bytes.Equal(got, bodyOf(a.Object, a.Part, issued, a.SizeKB)) {
+		return 0, fmt.Sprintf("%.40q, %d bytes for %s/%d", line, len(got), a.Object, a.Part)
+	}
+	return issued, ""
+}
+
+// Leave ends a client's wait: it closes its connection.
+func (v *sockets) Leave(router int, txn string) {
+	if x := v.routers[router].asks[txn]; x != nil {
+		delete(v.routers[router].asks, txn)
+		x.cancel()
+	}
+}
+
+// End answers a hop.
+func (v *sockets) End(_ int, h *world.Hop, e world.End) { h.Tag.(*lineHop).end(h, e) }
+
+// Told puts an event on a router's board.
+func (v *sockets) Told(router int, n world.Notice) {
+	r := v.routers[router]
+	rev := len(r.events) + 1
+	if n.Purge {
+		what := fmt.Sprintf(`"collection":%d`, n.Group)
+		if n.Object != "" {
+			what = fmt.Sprintf(`"asset":%q`, n.Object)
+		}
+		r.post(fmt.Sprintf(`{"rev":%d,"flush":{%s,"ms":%d}}`, rev, what, v.unixMS(n.At)))
+		return
+	}
+	r.post(r.pool(rev, n.Servers, false))
+}
+
+// Note passes a line of the record on; what becomes of servers moves their
+// listeners.
+func (v *sockets) Note(e *record.Entry) {
+	switch e.Kind {
+	case "down", "started":
+		for _, r := range v.routers {
+			if p := r.places[e.Server]; p != nil {
+				p.turn(e.Kind == "started", v.world.Silent(e.Server))
+			}
+		}
+	}
+	v.referee.Note(e)
+	if v.opt.Record != nil {
+		v.opt.Record(e)
+	}
+}
+
+// Down kills a router outright.
+func (v *sockets) Down(router int) {
+	r := v.routers[router]
+	for _, x := range r.asks {
+		x.cancel()
+	}
+	r.asks = map[string]*asked{}
+	r.end()
+}
+
+// Up starts it again.
+func (v *sockets) Up(router int, known []world.Server) {
+	if err := v.routers[router].run(known); err != nil {
+		v.failed(err)
+	}
+}
+
+func (v *sockets) failed(err error) {
+	select {
+	case v.fail <- err:
+	default: // the first one counts
+	}
+}
+
+// ---- Router processes ----
+
+// prepare finds an address, starts the board and the servers' listeners.
+func (r *process) prepare() error {
+	want := "127.0.0.1:0"
+	if r.conf.Listen != "" && r.id == 0 {
+		want = r.conf.Listen
+	}
+	l, err := net.Listen("tcp", want)
+	if err != nil {
+		return err
+	}
+	r.listen = l.Addr().String()
+	l.Close()
+	if r.board, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(r.poll), ReadTimeout: 10 * time.Second}
+	r.all.Go(func() { server.Serve(r.board) })
+	r.all.Go(func() {
+		<-r.ctx.Done()
+		server.Close()
+	})
+	for _, s := range r.world.Known() {
+		if _, err := r.place(s.Server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pool is a change of the list as the board words it.
+func (r *process) pool(rev int, list []world.Server, all bool) string {
+	type target struct {
+		UID          string  `json:"uid"`
+		Endpoint     string  `json:"endpoint"`
+		AZ           string  `json:"az"`
+		Model        string  `json:"model"`
+		State        string  `json:"state"`
+		CapacityHint float64 `json:"capacity_hint"`
+		BootMS       int64   `json:"boot_ms"`
+	}
+	states := map[string]string{"active": "ready", "leaving": "draining", "left": "gone"}
+	out := []target{}
+	for _, s := range list {
+		p, err := r.place(s.Server)
+		if err != nil {
+			r.failed(err)
+			continue
+		}
+		t := target{s.Server, p.addr, s.Zone, s.Kind, states[s.State], s.Weight, 0}
+		if s.Born > 0 {
+			t.BootMS = r.unixMS(s.Born)
+		}
+		out = append(out, t)
+	}
+	text, _ := json.Marshal(map[string]any{"rev": rev, "pool": map[string]any{"all": all, "targets": out}})
+	return string(text)
+}
+
+func (r *process) post(event string) {
+	r.events = append(r.events, event)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// poll is the board's long poll.
+func (r *process) poll(w http.ResponseWriter, q *http.Request) {
+	watch, _ := strconv.Atoi(q.URL.Query().Get("watch"))
+	linger, _ := strconv.Atoi(q.URL.Query().Get("linger"))
+	late := time.After(time.Duration(min(max(linger, 0), 5000)) * time.Millisecond)
+	for {
+		var news string
+		var more <-chan struct{}
+		done := make(chan struct{})
+		r.send(func() {
+			defer close(done)
+			more = r.changed
+			if watch < len(r.events) {
+				news = strings.Join(r.events[max(watch, 0):], ",")
+			}
+			news = fmt.Sprintf(`{"rev":%d,"notices":[%s]}`, len(r.events), news)
+		})
+		select {
+		case <-done:
+		case <-r.ctx.Done():
+			return
+		}
+		if !strings.HasSuffix(news, "[]}") {
+			io.WriteString(w, news)
+			return
+		}
+		select {
+		case <-more:
+		case <-late:
+			io.WriteString(w, news)
+			return
+		case <-q.Context().Done():
+			return
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
+// run starts the process with the list as it is.
+func (r *process) run(known []world.Server) error {
+	r.starts++
+	r.events = []string{r.pool(1, known, true)}
+	setup := r.set.Settings(r.world.Office(r.id), r.id)
+	if r.opt.Settings != nil {
+		r.opt.Settings(&setup)
+	}
+	f := &r.set.Fleet
+	text, err := json.Marshal(map[string]any{"name": fmt.Sprint("n", r.id+1), "listen": r.listen, "seed": fmt.Sprintf("%x", r.id+1+r.starts<<16),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "board": r.board.Addr().String(),
+		"flow_bytes_per_s": f.FlowKBPerS * 1000, "link_bytes_per_s": f.FlowKBPerS * 4000,
+		"known": json.RawMessage(`{"rev":1,"notices":[` + r.events[0] + `]}`), "settings": setup})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(r.dir, fmt.Sprintf("n%d.json", r.id+1))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	cmd := exec.Command(r.conf.Program, "serve", "--config", path)
+	for _, e := range os.Environ() {
+		if !strings.HasPrefix(e, "LB_") {
+			cmd.Env = append(cmd.Env, e)
+		}
+	}
+	cmd.Env = append(cmd.Env, "QUILLDOOR_TEST_MAIN=1") // a test's own binary is the program in tests
+	cmd.Dir = r.dir
+	cmd.Stderr = io.MultiWriter(&r.log, cmp.Or[io.Writer](r.conf.Log, io.Discard))
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("router n%d: %w", r.id+1, err)
+	}
+	ended := make(chan struct{})
+	r.cmd, r.ended, r.killed = cmd, ended, false
+	r.all.Go(func() {
+		err := cmd.Wait()
+		close(ended)
+		r.send(func() {
+			if r.cmd == cmd && !r.killed {
+				r.failed(fmt.Errorf("router n%d ended by itself (%v); its last lines:\n%s", r.id+1, err, r.log.String()))
+			}
+		})
+	})
+	return nil
+}
+
+// ready waits until the router answers.
+func (r *process) ready() error {
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		select {
+		case <-r.ended:
+			return fmt.Errorf("router n%d ended at its start; its last lines:\n%s", r.id+1, r.log.String())
+		case <-r.ctx.Done():
+			return r.ctx.Err()
+		case do := <-r.in: // nobody else reads it yet
+			do()
+		default:
+		}
+		if res, err := r.client.Get("http://" + r.listen + "/health"); err == nil {
+			res.Body.Close()
+			if res.StatusCode == 200 {
+				return nil
+			}
+		}
+	}
+	return fmt.Errorf("router n%d is not ready after 30 s; its last lines:\n%s", r.id+1, r.log.String())
+}
+
+// end kills the process and waits for it.
+func (r *process) end() {
+	if r.cmd == nil {
+		return
+	}
+	r.killed = true
+	r.cmd.Process.Kill()
+	<-r.ended
+}
+
+// tail keeps the last bytes that were written.
+type tail struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+func (t *tail) Write(b []byte) (int, error) {
+	const most = 4 << 10
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, b...)
+	if over := len(t.text) - most; over > 0 {
+		t.text = append(t.text[:0], t.text[over:]...)
+	}
+	return len(b), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.text)
 }
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -19,8 +19,8 @@
 // Options of a run.
 type Options struct {
 	Seed     uint64
-	Record   func(*record.Entry) // each line of the record, valid during the call; nil: none
-	Progress func(done float64)  // about once a simulated second
+	Record   func(*record.Entry)                        // each line of the record, valid during the call; nil: none
+	Progress func(done float64, seconds []world.Second) // about once a simulated second
 
 	// Of wrong routers, for tests of the referee and of the model.
 	Settings func(*settings.Setup)       // changes what routers are handed
@@ -117,7 +117,7 @@
 			}
 			if at := now / 1_000_000; at > told && opt.Progress != nil {
 				told = at
-				opt.Progress(float64(now) / float64(end))
+				opt.Progress(float64(now)/float64(end), v.world.Result.Timeline)
 			}
 		}
 	}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -206,9 +206,29 @@
 	w.after(second, w.tick)
 }
 
-// Routers is how many there are; Office tells where one stands.
-func (w *World) Routers() int                 { return len(w.routers) }
-func (w *World) Office(router int) int        { return w.routers[router].office }
+// Routers is how many there are.
+func (w *World) Routers() int { return len(w.routers) }
+
+// Office tells where a router stands.
+func (w *World) Office(router int) int { return w.routers[router].office }
+
+// Silent tells whether a server says nothing, not even by a reset.
+func (w *World) Silent(server string) bool {
+	s := w.servers[server]
+	return s != nil && s.silent
+}
+
+// Object tells of an object of the catalogue by its name: its rule, group and the
+// size of a part.
+func (w *World) Object(name string, part int64) (rule int, group int64, kb float64, known bool) {
+	id := w.cat.id(name)
+	if id < 0 || id >= w.cat.objects || part < 0 || part >= w.cat.parts(id) {
+		return 0, 0, 0, false
+	}
+	return w.cat.rule(id), w.cat.group(id), w.cat.size(id, part), true
+}
+
+// RuleOf is a remap rule by its place in the settings.
 func (w *World) RuleOf(i int) logic.RemapRule { return w.rules[i] }
 
 // Now is the world's time.
