--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -37,6 +37,7 @@
 	FillsPerCore int     `yaml:"fills_per_core"`
 	Thrash       float64 `yaml:"thrash"` // of its power lost for each txn a core above four
 	KeepsShare   float64 `yaml:"keeps_share"`
+	Warm         bool    `yaml:"warm"`    // caches and parents begin with what is popular
 	Orphans      bool    `yaml:"orphans"` // a fill whose txn has left runs on
 
 	FlowKBPerS   float64 `yaml:"flow_kb_per_s"` // to a client, a core
@@ -143,12 +144,12 @@
 func Default() Script {
 	return Script{Seed: 1, LengthS: 40, SettleS: 10,
 		Fleet: Fleet{Trunks: 2, Offices: 3, Routers: 1, Caches: 4, Parents: 1, Cores: 5, SlotsPerCore: 5, QueuePerCore: 4,
-			FillsPerCore: 4, Thrash: 0.05, KeepsShare: 0.3, FlowKBPerS: 310, LinkShare: 0.4, FillSpeed: 3, HomeMS: 0.3,
+			FillsPerCore: 4, Thrash: 0.05, KeepsShare: 0.3, Warm: true, FlowKBPerS: 310, LinkShare: 0.4, FillSpeed: 3, HomeMS: 0.3,
 			TrunkMS: 7, FarMS: 30, ClientMS: 5, ParentLink: 1.3, ParentKeeps: 0.7, LedgerWork: 12, LedgerMS: 40,
 			LedgerRefuse: 0.85, LedgerStops: 2.5, LedgerStopS: 4, ColdFrom: 0.3, ColdS: 12, FallMultiple: 2, FallMS: 1000,
 			ParentColdFrom: 0.1, ParentColdS: 18, ReportMS: 300, ReportDelayMS: 120, ReportNoise: 0.06, BoardMS: 800,
 			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true},
-		Load: Load{TxnsPerS: 120, Videos: 0.54, Writes: 0.034, Objects: 3000, Skew: 0.9, LocalShare: 0.15, DriftS: 10, Retries: 2,
+		Load: Load{TxnsPerS: 160, Videos: 0.54, Writes: 0.034, Objects: 3000, Skew: 0.9, LocalShare: 0.15, DriftS: 10, Retries: 2,
 			WaitMS: 150, Honour: 0.5, Patience: 0.8}}
 }
 
--- a/internal/world/catalogue.go
+++ b/internal/world/catalogue.go
@@ -28,7 +28,8 @@
 	popular  [2]distuv.Categorical
 	once     int64
 	allKB    float64
-	officeKB float64 // what one office can want
+	officeKB float64  // what one office can want
+	warm     [2]int64 // by kind of server: objects up to there are kept at the start
 }
 
 func keyOf(object, part int64) int64 { return object<<partBits | part&(1<<partBits-1) }
@@ -54,9 +55,27 @@
 		}
 	}
 	c.officeKB = c.allKB - local + local/float64(s.Fleet.Offices)
+	if s.Fleet.Warm {
+		c.warm = [2]int64{cache: c.upTo(s.Fleet.KeepsShare), parent: c.upTo(s.Fleet.ParentKeeps)}
+	}
 	return c
 }
 
+// upTo gives the number under which objects make up a share of the catalogue's
+// bytes: at the start numbers are by popularity.
+func (c *catalogue) upTo(share float64) int64 {
+	kb := 0.0
+	for i := range c.objects {
+		for p := range c.parts(i) {
+			kb += c.size(i, p)
+		}
+		if kb > share*c.allKB {
+			return i
+		}
+	}
+	return c.objects
+}
+
 // mix is a hash of an object's number and a purpose (SplitMix64's finish).
 func (c *catalogue) mix(object int64, purpose uint64) uint64 {
 	z := uint64(object)*0x9e3779b97f4a7c15 + c.salt + purpose*0xbf58476d1ce4e5b9
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -134,6 +134,7 @@
 	hops    map[hopKey]*Hop
 	purged  map[int64]int64 // objects, at the ledger: when
 	groups  [groupCount]int64
+	warmed  map[warmKey]bool // what servers began with and was asked for
 
 	late      int64 // the board tells so much later
 	cut       bool
@@ -150,6 +151,12 @@
 	Result *Result
 }
 
+// warmKey is a part at an office, or at a trunk (below 0).
+type warmKey struct {
+	place int
+	key   int64
+}
+
 type hopKey struct {
 	router int
 	txn    string
@@ -170,7 +177,7 @@
 // New makes a world at time 0.
 func New(s *script.Script, seed uint64, d Driver) *World {
 	w := &World{set: s, driver: d, rules: s.Rules(), dice: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		servers: map[string]*server{}, hops: map[hopKey]*Hop{}, purged: map[int64]int64{}, burst: 1, Result: newResult(s)}
+		servers: map[string]*server{}, hops: map[hopKey]*Hop{}, purged: map[int64]int64{}, warmed: map[warmKey]bool{}, burst: 1, Result: newResult(s)}
 	f := &s.Fleet
 	w.cat = newCatalogue(s, w.dice)
 	for o := range f.Offices {
