Read the notice board's news in chunks, as HTTP/1.1 servers may send it

The record showed purges told and copies served; the router's log 'no transfer encodings here': a server that sends more than 2 kB of news in chunks was refused, and each poll asked for the same news again, so that the board was lost for good. Change: a response may be chunked (RFC 9112, section 7.1), not beside a length; the connection ends behind it.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http/httputil"
 	"strconv"
 	"time"
 
@@ -224,11 +225,15 @@
 		return nil, fmt.Errorf("status %d", h.Status)
 	}
 	var body []byte
+	var from io.Reader = c.r
+	if h.Chunked {
+		from = httputil.NewChunkedReader(c.r)
+	}
 	if h.Length >= 0 {
 		body = make([]byte, h.Length)
 		_, err = io.ReadFull(c.r, body)
 	} else {
-		body, err = io.ReadAll(io.LimitReader(c.r, int64(f.limits.News)+1))
+		body, err = io.ReadAll(io.LimitReader(from, int64(f.limits.News)+1))
 		if len(body) > f.limits.News {
 			err = errors.New("answer too long")
 		}
@@ -236,6 +241,6 @@
 	if err != nil {
 		return nil, err
 	}
-	c.last = h.Close || h.Length < 0
+	c.last = h.Close || h.Length < 0 // trailers behind chunks are not worth reading
 	return Parse(body)
 }
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -118,3 +118,38 @@
 		t.Fatal(got)
 	}
 }
+
+// A board that sends long news in chunks was once lost for good: each poll asked
+// for the same news again. A broken chunk is no news.
+func TestNewsInChunks(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const news = `{"rev":1,"notices":[{"rev":1,"flush":{"asset":"x","ms":5}}]}`
+	go func() {
+		for _, answer := range []string{head + "zz\r\n", head + "5\r\n{\"rev\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + head[17:],
+			head + fmt.Sprintf("10\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", news[:16], len(news)-16, news[16:])} {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			bufio.NewReader(c).ReadString('\n')
+			c.Write([]byte(answer))
+			c.Close()
+		}
+	}()
+	s := make(sink, 10)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	f := New(&config.Limits{Linger: time.Second, PollSlack: time.Second, RetryFirst: time.Millisecond,
+		RetryMost: 2 * time.Millisecond, Head: 1000, Fields: 10, News: 1000}, s)
+	go f.Run(ctx, l.Addr().String())
+	for _, want := range []string{"lost", "back", `purge "x" 0 5000`} {
+		if got := <-s; got != want {
+			t.Fatalf("%s, want %s", got, want)
+		}
+	}
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -28,6 +28,7 @@
 	Method, Target string // of a request
 	Status         int    // of a response
 	Length         int    // of the body; -1 in a response: until the connection ends
+	Chunked        bool   // the body of a response comes in chunks (RFC 9112, section 7.1)
 	Close          bool   // the sender ends the connection behind this message
 	Continue       bool   // the client waits for 100 before it sends the body
 	Fields         []Field
@@ -131,6 +132,9 @@
 			return err
 		}
 		if len(l) == 0 {
+			if h.Chunked && h.Length >= 0 {
+				return bad(502, "chunks and a length")
+			}
 			return nil
 		}
 		name, value, ok := strings.Cut(string(l), ":")
@@ -167,7 +171,11 @@
 		}
 		h.Length = int(n)
 	case "transfer-encoding":
-		return bad(501, "no transfer encodings here")
+		// Clients of the protocol tell lengths; a server may answer in chunks.
+		if h.Status == 0 || h.Chunked || !strings.EqualFold(f.Value, "chunked") {
+			return bad(501, "no transfer encodings here")
+		}
+		h.Chunked = true
 	case "expect":
 		h.Continue = strings.EqualFold(f.Value, "100-continue")
 	case "connection":
