--- /dev/null
+++ b/cmd/quilldoor/emulated_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"quilldoor/internal/emulate"
+	"quilldoor/internal/script"
+	"quilldoor/internal/settings"
+)
+
+// rehearse plays a script on loopback against this very program.
+func rehearse(t *testing.T, text string, edit func(*settings.Setup)) (*emulate.Result, error) {
+	t.Helper()
+	s, err := script.Parse(t.Name(), []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	return emulate.Sockets(ctx, s, emulate.Options{Seed: 1, Settings: edit}, emulate.Routers{Program: os.Args[0]})
+}
+
+// Real routers before an emulated fleet with all kinds of trouble keep the rules.
+func TestEmulatedTroubles(t *testing.T) {
+	r, err := rehearse(t, `
+length_s: 7
+settle_s: 1
+fleet: {offices: 2, routers: 1, caches: 3, cold_s: 2, death_ms: 500, board_ms: 200}
+load: {txns_per_s: 60, objects: 500}
+troubles:
+  - {kind: die, at: 1.5, for: 1.5, office: 1, share: 0.34}
+  - {kind: silent, at: 2, for: 2, office: 2, share: 0.34}
+  - {kind: purge, at: 2.5, share: 0.5}
+  - {kind: spoilt, at: 1, for: 3, share: 0.02}
+  - {kind: resets, at: 1, for: 3, share: 0.02}
+  - {kind: endless, at: 1, for: 3, share: 0.02}
+  - {kind: ledger_resets, at: 3, for: 2, share: 0.1}
+  - {kind: router_dies, at: 4, for: 0.7, share: 0.5}
+  - {kind: deploy, at: 4.5, for: 1, every: 0.5, strength: 1, office: 2}
+`, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Breaks {
+		t.Error(b)
+	}
+	answered := 0
+	for _, k := range r.Rules {
+		for phase, o := range k.Phases {
+			answered += o.InTime + o.Late
+			if o.InTime+o.Late+o.Refused+o.Failed != o.Asked {
+				t.Errorf("%s in %s: %+v", k.Name, phase, *o)
+			}
+		}
+	}
+	if answered < 200 || r.Fallen > 0 || r.Judged < answered {
+		t.Errorf("%d answered, %d judged, %d pushed over", answered, r.Judged, r.Fallen)
+	}
+}
+
+// A router process that dies is told of, with what it said last.
+func TestDeadRouterEndsTheRun(t *testing.T) {
+	began := time.Now()
+	_, err := rehearse(t, "length_s: 60\nfleet: {offices: 1, trunks: 1}\n", func(s *settings.Setup) { s.Classes[0].Effect = "odd" })
+	if err == nil || !strings.Contains(err.Error(), "settings.Classes[0].Effect") || time.Since(began) > 30*time.Second {
+		t.Fatalf("after %v: %v", time.Since(began), err)
+	}
+	if _, err := rehearse(t, "fleet: {offices: 100, routers: 5, caches: 10}\nload: {txns_per_s: 10}\n", nil); err == nil ||
+		!strings.Contains(err.Error(), "listeners") {
+		t.Fatalf("more than the machine has: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/emulate/bench_test.go
@@ -0,0 +1,48 @@
+package emulate
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"quilldoor/internal/script"
+)
+
+// Simulated txns a second of wall time by size, on one core's worth of goroutine:
+// the load grows with the caches, sixteen txns a second for each and, at the
+// largest size, twenty.
+func BenchmarkVirtual(b *testing.B) {
+	for _, size := range []struct{ offices, caches int }{{2, 5}, {10, 10}, {100, 10}} {
+		n := size.offices * size.caches
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := script.Default()
+			s.LengthS, s.SettleS = max(4000/float64(n), 8), 2
+			s.Fleet.Offices, s.Fleet.Caches, s.Fleet.Trunks = size.offices, size.caches, min(size.offices, 5)
+			s.Fleet.Parents, s.Fleet.LedgerWork = max(size.offices/15, 1), 2*n
+			s.Load.TxnsPerS = 13 * float64(n)
+			if n == 1000 {
+				s.Load.TxnsPerS, s.Fleet.Cores = 20_000, 8
+			}
+			txns, hops := 0, 0
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			for b.Loop() {
+				r, err := Virtual(context.Background(), &s, Options{Seed: 1})
+				if err != nil {
+					b.Fatal(err)
+				}
+				txns, hops = txns+r.Taken, hops+r.Hops
+				if len(r.Breaks) > 0 {
+					b.Fatal(r.Breaks[0])
+				}
+			}
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(txns)/b.Elapsed().Seconds(), "txns/s")
+			b.ReportMetric(float64(hops)/float64(txns), "hops/txn")
+			b.ReportMetric(float64(after.Sys)/1e6, "MB-sys")
+			b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(txns), "allocs/txn")
+		})
+	}
+}
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"quilldoor/internal/record"
@@ -57,6 +59,7 @@
 	ctx     context.Context
 	all     sync.WaitGroup
 	conf    Routers
+	late    int64 // how late the loop did something, at most
 }
 
 // process is a router and what it alone talks to.
@@ -143,7 +146,7 @@
 	if err := v.loop(); err != nil {
 		return nil, err
 	}
-	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged}, nil
+	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged, v.late}, nil
 }
 
 func findProgram(name string) (string, error) {
@@ -176,7 +179,8 @@
 		if v.world.Over() || now > end {
 			return nil
 		}
-		for v.world.Next() <= now && v.world.Step(now) {
+		for at := v.world.Next(); at <= now && v.world.Step(now); at = v.world.Next() {
+			v.late = max(v.late, v.now()-at)
 		}
 		if at := now / 1_000_000; at > told && v.opt.Progress != nil {
 			told = at
@@ -220,7 +224,10 @@
 			if wrong != "" {
 				v.Note(&record.Entry{Kind: "wrong", At: v.world.Now(), Router: a.Router, Txn: a.Txn, State: wrong})
 			}
-			if outcome != "" && r.asks[a.Txn] == x {
+			if outcome == "refused" && r.asks[a.Txn] == x {
+				delete(r.asks, a.Txn)
+				v.world.Refused(a.Router, a.Txn)
+			} else if outcome != "" && r.asks[a.Txn] == x {
 				delete(r.asks, a.Txn)
 				v.world.Final(a.Router, a.Txn, outcome, issued, stay)
 			}
@@ -250,6 +257,9 @@
 		q.Header.Set("X-Second-Try", "1")
 	}
 	res, err := v.client.Do(q)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return "refused", 0, 0, ""
+	}
 	if err != nil {
 		return
 	}
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -34,8 +34,13 @@
 	Breaks []referee.Break
 	Count  [6]int // broken, by rule
 	Judged int
+	Late   int64 // on sockets: how late the model was at most, in microseconds
 }
 
+// TooLate is when a run on sockets tells nothing: the model itself broke the
+// graces that routers are judged by.
+const TooLate = 100_000
+
 // Figures of the rules for a script.
 func Figures(s *script.Script, slack int64) referee.Figures {
 	const toldBy = 7_000_000 // the platform's page: what the board has counts as told 7 s later
@@ -121,7 +126,7 @@
 			}
 		}
 	}
-	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged}, nil
+	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged, 0}, nil
 }
 
 // start makes a router's core from nothing.
--- a/internal/emulate/virtual_test.go
+++ b/internal/emulate/virtual_test.go
@@ -43,6 +43,9 @@
 		t.Fatalf("%d rehearsals", len(names))
 	}
 	for _, name := range names {
+		if load(t, name).LengthS > 120 { // for people to look at
+			continue
+		}
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var first []byte
--- a/internal/referee/referee.go
+++ b/internal/referee/referee.go
@@ -131,6 +131,7 @@
 	"taken": (*Referee).taken, "sent": (*Referee).sent, "ran": (*Referee).ran, "end": (*Referee).end,
 	"final": (*Referee).final, "left": (*Referee).left, "listed": (*Referee).list, "told": (*Referee).tell,
 	"told_purge": (*Referee).tellPurge, "router_down": (*Referee).down, "router_up": (*Referee).up,
+	"refused": func(r *Referee, e *record.Entry) { delete(r.txns, id{e.Router, e.Txn}) },
 	"wrong": func(r *Referee, e *record.Entry) {
 		r.broken(1, e, "served what no server made for it: %s", e.State)
 	},
--- /dev/null
+++ b/internal/referee/referee_test.go
@@ -0,0 +1,88 @@
+package referee
+
+import (
+	"testing"
+
+	"quilldoor/internal/record"
+	"quilldoor/logic"
+)
+
+// entry is a line for txn t at router 1 and a millisecond.
+func entry(at int64, kind string, more record.Entry) *record.Entry {
+	more.At, more.Kind, more.Router, more.Txn = at*ms, kind, 1, "t"
+	return &more
+}
+
+// Each record breaks just the rule named, or none (0).
+func TestRules(t *testing.T) {
+	type e = record.Entry
+	taken := func(rule string) *e {
+		return entry(0, "taken", e{Rule: rule, Object: "o", Group: 3, Deadline: 1000 * ms})
+	}
+	sent := func(at int64, hop int, server, source string) *e {
+		return entry(at, "sent", e{Hop: hop, Server: server, Source: source})
+	}
+	ran := func(at int64, hop int) *e { return entry(at, "ran", e{Hop: hop, Server: "a"}) }
+	end := func(at int64, hop int, code string) *e { return entry(at, "end", e{Hop: hop, Outcome: code}) }
+	final := func(at int64, outcome string, issued int64) *e {
+		return entry(at, "final", e{Outcome: outcome, Issued: issued * ms})
+	}
+	told := func(at int64, server, state string) *e { return entry(at, "told", e{Server: server, State: state}) }
+	for name, c := range map[string]struct {
+		rule  int
+		lines []*e
+	}{
+		"one answer":              {0, []*e{taken("read"), sent(1, 0, "a", "o"), ran(2, 0), end(5, 0, "done"), final(5, "completed", 4)}},
+		"two answers":             {1, []*e{taken("read"), final(5, "rejected", 0), final(6, "rejected", 0)}},
+		"late by the slack":       {0, []*e{taken("read"), final(1008, "aborted", 0)}},
+		"too late":                {1, []*e{taken("read"), final(1009, "aborted", 0)}},
+		"none":                    {1, []*e{taken("read"), entry(1010, "left", e{})}},
+		"nothing taken":           {1, []*e{final(5, "completed", 4)}},
+		"hop after the answer":    {1, []*e{taken("read"), final(5, "rejected", 0), sent(6, 0, "a", "")}},
+		"killed":                  {0, []*e{taken("read"), entry(5, "router_down", e{})}},
+		"refused":                 {0, []*e{taken("read"), entry(5, "refused", e{})}},
+		"read again":              {0, []*e{taken("read"), sent(1, 0, "a", "o"), ran(2, 0), end(3, 0, "econnreset"), sent(4, 1, "b", "o"), final(5, "rejected", 0)}},
+		"write again on proof":    {0, []*e{taken("sign"), sent(1, 0, "o", "o"), end(3, 0, "busy"), sent(4, 1, "o", "o"), ran(5, 1), end(6, 1, "done"), final(6, "completed", 0)}},
+		"write again after reset": {2, []*e{taken("sign"), sent(1, 0, "o", "o"), end(3, 0, "econnreset"), sent(4, 1, "o", "o")}},
+		"write again unanswered":  {2, []*e{taken("sign"), sent(1, 0, "o", "o"), sent(4, 1, "o", "o")}},
+		"write rejected on proof": {0, []*e{taken("sign"), sent(1, 0, "o", "o"), end(3, 0, "econnrefused"), final(4, "rejected", 0)}},
+		"write rejected, ran":     {2, []*e{taken("sign"), sent(1, 0, "o", "o"), ran(2, 0), end(3, 0, "econnreset"), final(4, "rejected", 0)}},
+		"write aborted, ran":      {0, []*e{taken("sign"), sent(1, 0, "o", "o"), ran(2, 0), end(3, 0, "econnreset"), final(4, "aborted", 0)}},
+		"keyed within":            {0, []*e{taken("keyed"), sent(1, 0, "o", "o"), end(3, 0, "econnreset"), sent(90, 1, "o", "o"), final(99, "rejected", 0)}},
+		"keyed past its window":   {2, []*e{taken("keyed"), sent(1, 0, "o", "o"), end(3, 0, "econnreset"), sent(101, 1, "o", "o")}},
+		"drained within grace":    {0, []*e{told(0, "a", "leaving"), taken("read"), sent(500, 0, "a", "o"), final(501, "rejected", 0)}},
+		"drained":                 {3, []*e{told(0, "a", "leaving"), taken("read"), sent(501, 0, "a", "o")}},
+		"drained source":          {3, []*e{told(0, "p", "left"), taken("read"), sent(501, 0, "a", "p")}},
+		"told twice":              {3, []*e{told(0, "a", "leaving"), told(400, "a", "left"), taken("read"), sent(600, 0, "a", "o")}},
+		"back again":              {0, []*e{told(0, "a", "left"), told(400, "a", "active"), taken("read"), sent(900, 0, "a", "o"), final(901, "rejected", 0)}},
+		"never told":              {3, []*e{entry(0, "listed", e{Server: "a", State: "left"}), taken("read"), sent(7501, 0, "a", "o")}},
+		"not told yet":            {0, []*e{entry(0, "listed", e{Server: "a", State: "left"}), taken("read"), sent(900, 0, "a", "o"), final(901, "rejected", 0)}},
+		"cold":                    {4, []*e{entry(3, "fell", e{Server: "a"})}},
+		"older than a purge": {5, []*e{entry(100, "told_purge", e{Object: "o", Until: 90 * ms}), taken("read"), sent(401, 0, "a", "o"),
+			end(410, 0, "done"), final(410, "completed", 89)}},
+		"of a group": {5, []*e{entry(100, "told_purge", e{Group: 3, Until: 90 * ms}), taken("read"), sent(401, 0, "a", "o"),
+			end(410, 0, "done"), final(410, "completed", 89)}},
+		"sent within grace": {0, []*e{entry(100, "told_purge", e{Object: "o", Until: 90 * ms}), taken("read"), sent(400, 0, "a", "o"),
+			end(410, 0, "done"), final(410, "completed", 89)}},
+		"given out since": {0, []*e{entry(100, "told_purge", e{Object: "o", Until: 90 * ms}), taken("read"), sent(401, 0, "a", "o"),
+			end(410, 0, "done"), final(410, "completed", 90)}},
+		"another group": {0, []*e{entry(100, "told_purge", e{Group: 4, Until: 90 * ms}), taken("read"), sent(401, 0, "a", "o"),
+			end(410, 0, "done"), final(410, "completed", 89)}},
+	} {
+		r := New(Figures{AnswerSlack: 8 * ms, DrainGrace: 500 * ms, PurgeGrace: 300 * ms, ToldBy: 7 * second,
+			Rules: []logic.RemapRule{{Name: "read", Effect: "safe"}, {Name: "sign", Effect: "unsafe", Write: true},
+				{Name: "keyed", Effect: "keyed", Window: 100 * ms}}})
+		for _, l := range c.lines {
+			r.Note(l)
+		}
+		total := 0
+		for rule, n := range r.Count {
+			if total += n; n > 0 && rule != c.rule {
+				t.Errorf("%s: rule %d: %v", name, rule, r.Breaks)
+			}
+		}
+		if c.rule > 0 && total == 0 {
+			t.Errorf("%s: not caught", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/script/script_test.go
@@ -0,0 +1,55 @@
+package script
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestFaultsAreNamedByKeyAndLine(t *testing.T) {
+	for text, want := range map[string]string{
+		"length_s: 0\n":          "f:1: length_s: 0 is not within",
+		"settle_s: 50\n":         "f:1: settle_s",
+		"\nfleet:\n  cores: 0\n": "f:3: fleet.cores",
+		"load: {txns_per_s: 1000000, objects: 10}\nlength_s: 86400\n": "f:1: load.txns_per_s: 86400000000 txns",
+		"fleet: {offices: 100, caches: 100}\n":                        "f:1: fleet.caches: 10000 caches",
+		"fleet: {offices: 200, routers: 50}\n":                        "f:1: fleet.routers: 10000 routers",
+		"troubles:\n- {kind: rain, at: 1}\n":                          "f:2: troubles[0].kind: \"rain\" is no trouble",
+		"troubles:\n- {kind: die, at: 1}\n- {kind: die, at: 99}\n":    "f:3: troubles[1].at: 99 is not within",
+		"troubles:\n- {kind: die, at: 1, office: 9}\n":                "f:2: troubles[0].office: there is no office 9",
+		"troubles:\n- {kind: parents_lost, at: 1, trunk: 9}\n":        "f:2: troubles[0].trunk",
+		"troubles:\n- {kind: die, at: 1, strength: 3}\n":              "f:2: troubles[0].strength: die has none",
+		"troubles:\n- {kind: ledger_slow, at: 1, strength: 1000}\n":   "f:2: troubles[0].strength: 1000 is not within",
+		"troubles:\n- {kind: die, at: 1, share: 2}\n":                 "f:2: troubles[0].share",
+		"troubles:\n- {kind: die, at: 1, every: 2}\n":                 "f:2: troubles[0].every: die does not come again",
+		"troubles:\n- {kind: die, at: 1, for: .inf}\n":                "f:2: troubles[0].for",
+		"load: {skew: .nan}\n":                                        "f:1: load.skew",
+		"fleets: {}\n":                                                "f:1: fleets: unknown field",
+	} {
+		if _, err := Parse("f", []byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	for _, name := range Names() {
+		s, err := Parse("f", []byte("troubles:\n- {kind: "+name+", at: 1, for: 2}\n"))
+		if k := Kinds[name]; err != nil || s.Troubles[0].Strength != k.Strength || k.Waves && s.Troubles[0].Every == 0 {
+			t.Errorf("%s: %+v, %v", name, s, err)
+		}
+	}
+}
+
+// What a script asks for is what routers are told.
+func TestSettingsAreTheScripts(t *testing.T) {
+	s := Default()
+	s.Load.FreshS = 12
+	set := s.Settings(2, 2)
+	l := set.Logic()
+	if l.Zone != "office-3" || len(l.Zones) != 3 || l.Siblings != 3 || l.Family.OriginKind != 2 || l.Family.ParentKind != 1 {
+		t.Fatalf("%+v", l)
+	}
+	if r := l.Rules[Page]; r.Fresh != 12_000_000 || r.Grace != 12_000_000 || l.Rules[Accept].Effect != "unsafe" || !l.Rules[Accept].Write {
+		t.Fatalf("%+v", l.Rules)
+	}
+	if l.Contract.ColdFrom != s.Fleet.ColdFrom || l.Contract.FallMultiple != s.Fleet.FallMultiple || l.Family.ParentColdFrom != s.Fleet.ParentColdFrom {
+		t.Fatalf("%+v", l.Contract)
+	}
+}
--- a/internal/world/clients.go
+++ b/internal/world/clients.go
@@ -181,6 +181,20 @@
 	w.again(a.client, 0, a.client.rule != script.Accept)
 }
 
+// Refused takes that a router's machine refused the connection: it has taken
+// nothing. Only sockets can tell; here a router that is up takes all.
+func (w *World) Refused(router int, txn string) {
+	r := w.routers[router]
+	a := r.open[txn]
+	if a == nil {
+		return
+	}
+	a.open = false
+	delete(r.open, txn)
+	w.note(Entry{Kind: "refused", Router: router, Txn: txn})
+	w.again(a.client, 0, true)
+}
+
 // Final takes a router's answer to a txn: "completed", "rejected" or "aborted".
 // Issued is that of the copy.
 func (w *World) Final(router int, txn, outcome string, issued, stay int64) {
