--- a/cmd/quilldoor-lab/demo.go
+++ b/cmd/quilldoor-lab/demo.go
@@ -58,6 +58,6 @@
 	const object = "o1" // a page: even numbers are videos
 	_, group, _, _ := w.Object(object, 0)
 	fmt.Fprintf(to, "a router serves at %s, before %d caches, their parents and a ledger, all emulated. Ask it yourself:\n\n"+
-		"  curl -i -H 'X-Txn: 00000000000000aa' -H 'X-Ttl-Ms: 2500' -H 'X-Shard: %d' http://%s/rpc/quote-page/%s\n\n"+
+		"  curl -si -H 'X-Txn: 00000000000000aa' -H 'X-Ttl-Ms: 2500' -H 'X-Shard: %d' http://%s/rpc/quote-page/%s | head -c 300\n\n"+
 		"Interrupt to end.\n", addrs[0], s.Fleet.Offices*s.Fleet.Caches, group, addrs[0], object)
 }
