Add the gateway between sites: decisions, protocol, TLS, status; off unless configured

Need: one office's link is full while a neighbour's is idle. Change: internal/crossing decides (where the module refuses, what is out when a link is cut, limits, trust), internal/frames is the codec, internal/gateway the connections and keys; the front hands over refused txns and carries peers'. quilldoor keys, gateway status; orders tell whether a hop may have run.

--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -59,7 +59,7 @@
 			}},
 		&cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Println("quilldoor", version()) }},
-		diskCommand())
+		diskCommand(), gatewayCommand(&f), keysCommand())
 	return root
 }
 
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -22,6 +22,7 @@
 	"quilldoor/internal/core"
 	"quilldoor/internal/disk"
 	"quilldoor/internal/front"
+	"quilldoor/internal/gateway"
 	"quilldoor/internal/operator"
 	"quilldoor/internal/shelf"
 	"quilldoor/internal/tier"
@@ -36,6 +37,9 @@
 	up    *upstream.Pool
 	front *front.Front
 	shelf *shelf.Shelf // nil: off
+	gate  *gateway.Gateway
+	keys  *gateway.Keys
+	host  *host
 	limit *config.Limits
 	kick  chan struct{}
 }
@@ -75,6 +79,12 @@
 		}
 		defer r.shelf.Close()
 	}
+	if o := c.operator.Gateway; o != nil {
+		if err := r.openGateway(c, o, bodies); err != nil {
+			return err
+		}
+		defer r.gate.Close()
+	}
 	if err := reserve(c.Limits.Sockets); err != nil {
 		r.log.WithError(err).Warn("descriptor table not grown")
 	}
@@ -92,6 +102,9 @@
 	if m := c.operator.Metrics; m != nil {
 		go r.publish(ctx, m)
 	}
+	if o := c.operator.Gateway; o != nil && o.Status != "" {
+		go r.tellStatus(ctx, o.Status)
+	}
 	served := make(chan error, 1)
 	go func() { served <- r.front.Serve(l) }()
 
@@ -111,12 +124,22 @@
 			for _, key := range append(c.Fixed(fresh.Config), c.operator.Fixed(fresh.operator)...) {
 				r.log.WithField("key", key).Warn("new configuration: takes a restart, the old value stays")
 			}
+			if r.keys != nil {
+				if err := r.keys.Load(); err != nil {
+					r.log.WithError(err).Error("gateway: new certificate refused, the old one stays")
+				} else {
+					r.log.Info("gateway: certificate read again")
+				}
+			}
 			unfollow()
 			follower.Apply(&board.News{Notices: fresh.known.Notices})
 			unfollow = follow(ctx, follower, fresh.Board)
 			r.log.WithField("board", fresh.Board).Info("new configuration in force")
 		}
 	}
+	if r.gate != nil {
+		r.gate.Drain()
+	}
 	// What is under way towards the listener when the signal comes is still taken.
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(c.Limits.AcceptOn))
 	time.AfterFunc(c.Limits.AcceptOn, r.front.Crowd)
@@ -248,6 +271,14 @@
 
 // Purge takes a purge.
 func (r *router) Purge(object string, group, at int64) {
+	if r.host != nil {
+		r.host.purges.add(object, group, at)
+	}
+	r.purge(object, group, at)
+}
+
+// purge tells the parts of a purge, from the board or from a peer.
+func (r *router) purge(object string, group, at int64) {
 	r.core.Purge(clock(), object, group, at)
 	if r.shelf != nil {
 		r.shelf.Purge(object, group, at)
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -111,3 +111,29 @@
 	}
 	b.chunks = nil
 }
+
+// Empty makes a body that Add fills.
+func (p *Pool) Empty() *Body {
+	b := &Body{pool: p}
+	b.holders.Store(1)
+	return b
+}
+
+// Add copies bytes to the body's end, before it has a second holder. False: there
+// is no room, and the body is to be released.
+func (b *Body) Add(data []byte) bool {
+	for len(data) > 0 {
+		at := b.length % Size
+		if at == 0 {
+			chunk := b.pool.get()
+			if chunk == nil {
+				return false
+			}
+			b.chunks = append(b.chunks, chunk)
+		}
+		n := copy(b.chunks[len(b.chunks)-1][at:], data)
+		b.length += n
+		data = data[n:]
+	}
+	return true
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -135,6 +135,9 @@
 	c.run(now)
 }
 
+// unrun are the ends that prove that a hop never ran.
+var unrun = map[string]bool{"busy": true, "enoent": true, "econnrefused": true, "skipped": true}
+
 func (c *Core) ended(now int64, h *Hop, o Outcome) {
 	t := h.Txn
 	if h.ended {
@@ -146,6 +149,7 @@
 	h.ended = true
 	c.over(h.limit)
 	t.out--
+	t.ran = t.ran || !unrun[o.Code]
 	if o.Code == "done" && !t.closed {
 		t.post(Order{Kind: Completed, Reply: o.Reply})
 		c.close(t)
@@ -232,7 +236,7 @@
 		c.ended(now, d.hop, Outcome{Code: code})
 	case d.txn != nil:
 		// No answer has come from the module by now, and one is owed.
-		d.txn.post(Order{Kind: Aborted})
+		d.txn.post(Order{Kind: Aborted, Ran: true})
 		c.close(d.txn)
 		c.queue = append(c.queue, logic.Event{Kind: logic.EvAbandoned, Txn: d.txn.ID})
 	default:
@@ -272,7 +276,7 @@
 			if a.Kind == logic.ActReject {
 				kind = Rejected
 			}
-			t.post(Order{Kind: kind, Stay: a.Stay})
+			t.post(Order{Kind: kind, Stay: a.Stay, Ran: t.ran || t.out > 0})
 			c.close(t)
 		}
 	case logic.ActCancel:
--- a/internal/core/txn.go
+++ b/internal/core/txn.go
@@ -24,6 +24,7 @@
 	Silent bool // of Drop: its time ran out without an answer
 	Reply  Reply
 	Stay   int64
+	Ran    bool // of Rejected and Aborted: a hop may have run, or is out
 	Server *Server
 	Text   string
 }
@@ -36,7 +37,8 @@
 	limit    *timer
 	closed   bool
 	hops     []*Hop
-	out      int // hops that have not ended
+	out      int  // hops that have not ended
+	ran      bool // one that ended may have run
 	box      []Order
 	wake     func() // nil once nobody reads the mailbox
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -14,6 +14,7 @@
 	"quilldoor/internal/buffer"
 	"quilldoor/internal/config"
 	"quilldoor/internal/core"
+	"quilldoor/internal/gateway"
 	"quilldoor/internal/http1"
 	"quilldoor/internal/shelf"
 	"quilldoor/internal/upstream"
@@ -25,8 +26,9 @@
 	up       *upstream.Pool
 	bodies   *buffer.Pool
 	limits   *config.Limits
-	shelf    *shelf.Shelf // nil: no copies of its own
-	late     atomic.Int64 // answers after their time limits
+	shelf    *shelf.Shelf     // nil: no copies of its own
+	gate     *gateway.Gateway // nil: no other site
+	late     atomic.Int64     // answers after their time limits
 	ready    atomic.Bool
 	draining atomic.Bool
 
@@ -47,6 +49,10 @@
 // Use makes the front answer from a shelf what it can, before it serves.
 func (f *Front) Use(s *shelf.Shelf) { f.shelf = s }
 
+// Join lets the front hand over to another site what the module refuses, before
+// it serves.
+func (f *Front) Join(g *gateway.Gateway) { f.gate = g }
+
 // Ready lets the health check pass; true: it did not before.
 func (f *Front) Ready() bool { return f.ready.CompareAndSwap(false, true) }
 
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -56,7 +56,7 @@
 		ok = number(n, 1<<31, &a.event.Part) && named && ok
 	}
 	id, _ := only("x-txn")
-	ok = ok && len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == ""
+	ok = ok && txnID(id)
 	a.event.Txn = id
 	var ttl int64
 	left, _ := only("x-ttl-ms")
@@ -81,6 +81,9 @@
 	return a, 0
 }
 
+// txnID tells whether text is a txn's id: 16 hex digits.
+func txnID(id string) bool { return len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == "" }
+
 // number reads a whole number of digits only, as a cache server is told it.
 func number(text string, most int64, to *int64) bool {
 	v, err := strconv.ParseUint(text, 10, 63)
@@ -122,20 +125,7 @@
 		return f.plain(c, 400, last)
 	}
 	for here := true; ; {
-		var final *core.Order
-		for _, o := range t.Take() {
-			switch o.Kind {
-			case core.Send:
-				flight := &upstream.Flight{Hop: o.Hop, Class: a.event.Rule, Object: a.event.Object,
-					Part: a.event.Part, Tag: tag, Body: a.body, Write: a.event.Write}
-				o.Hop.Carrier = flight
-				f.up.Send(flight)
-			case core.Drop:
-				f.leave(o)
-			default:
-				final = &o
-			}
-		}
+		final := f.orders(t, a, tag)
 		if final != nil || !here {
 			for _, o := range t.Detach() {
 				f.leave(o)
@@ -146,6 +136,12 @@
 				}
 				return false
 			}
+			if f.gate != nil {
+				f.gate.Home(final.Kind == core.Rejected)
+				if final.Kind == core.Rejected && !f.across(c, a, final, limit, arrived) {
+					return false // it left meanwhile
+				}
+			}
 			if time.Since(limit) > f.limits.ReplySlack/2 {
 				f.late.Add(1)
 			}
@@ -163,6 +159,24 @@
 	}
 }
 
+// orders carries out what the module has decided for a txn, up to its final answer.
+func (f *Front) orders(t *core.Txn, a *ask, tag string) (final *core.Order) {
+	for _, o := range t.Take() {
+		switch o.Kind {
+		case core.Send:
+			flight := &upstream.Flight{Hop: o.Hop, Class: a.event.Rule, Object: a.event.Object,
+				Part: a.event.Part, Tag: tag, Body: a.body, Write: a.event.Write}
+			o.Hop.Carrier = flight
+			f.up.Send(flight)
+		case core.Drop:
+			f.leave(o)
+		default:
+			final = &o
+		}
+	}
+	return final
+}
+
 // fromShelf looks for a copy of the router's own, and tells whether that is the
 // answer. Else the module decides as ever, and a copy may be proven or stand in.
 func (f *Front) fromShelf(a *ask, limit time.Time) (kept *shelf.Copy, served bool) {
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,396 @@
+// Package gateway joins this router to routers of another site: it carries out on
+// connections what package crossing decides. It dials each peer, and hands txns
+// over on that connection; what peers hand over comes on those that they dialled.
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/crossing"
+	"quilldoor/internal/frames"
+	"quilldoor/logic"
+)
+
+// Peer is one as the operator names it.
+type Peer struct{ Name, Site, Addr string }
+
+// Config of a gateway.
+type Config struct {
+	Settings crossing.Settings
+	Peers    []Peer
+	Keys     *Keys // nil: connections without TLS, for tests
+	// Upload and Answer bound the bodies of writes and of answers, in bytes.
+	Upload, Answer int
+	Seed           uint64
+}
+
+// Request is a txn of a client, to be handed over or as a peer hands it over.
+type Request struct {
+	Event  logic.Event // Remaining is what is left of its time
+	Tag    string
+	Body   *buffer.Body
+	Effect crossing.Effect
+	Clean  bool
+}
+
+// Reply is how it ended.
+type Reply struct {
+	End    crossing.Outcome
+	Proof  bool // of Rejected: it never ran
+	Same   bool
+	Stay   int64
+	Tag    string
+	Issued int64
+	Body   *buffer.Body
+}
+
+// Host is the router that a gateway belongs to.
+type Host interface {
+	// Carry runs a txn of a peer to its end; left is closed when the peer gives it up.
+	Carry(left <-chan struct{}, q *Request) Reply
+	// Purges are those that bind a txn and that its caches may not have done yet.
+	Purges(object string, group int64) []frames.Purge
+	// Purge takes one that a peer knows.
+	Purge(object string, group, at int64)
+}
+
+// Gateway is a running one.
+type Gateway struct {
+	config Config
+	host   Host
+	bodies *buffer.Pool
+	log    *logrus.Entry
+	start  time.Time
+
+	mu     sync.Mutex // for the gate and what follows; never held over I/O
+	gate   *crossing.Gate
+	links  map[string]*link // to peers that we dialled, once greeted
+	calls  map[string]*call // what is across
+	drains bool
+
+	ctx  context.Context
+	stop context.CancelFunc
+	all  sync.WaitGroup
+	l    net.Listener
+}
+
+// call is a txn that was handed over.
+type call struct {
+	link   *link
+	number uint32
+	done   func(Reply)
+	least  int64
+	answer *frames.Answer
+	body   *buffer.Body
+	left   int // bytes of the body to come
+}
+
+// incarnation rises with each start, by the clock; a start within the same
+// microsecond, or with the clock set back, is a ghost until it is ahead again.
+func incarnation() uint64 { return uint64(time.Now().UnixMicro()) }
+
+// Start serves peers on a listener and dials them.
+func Start(config Config, l net.Listener, host Host, bodies *buffer.Pool, log *logrus.Entry) *Gateway {
+	peers := map[string]string{}
+	for _, p := range config.Peers {
+		peers[p.Name] = p.Site
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	g := &Gateway{config: config, host: host, bodies: bodies, log: log, start: time.Now(), gate: crossing.New(config.Settings, peers),
+		links: map[string]*link{}, calls: map[string]*call{}, ctx: ctx, stop: stop, l: l}
+	own := incarnation()
+	g.all.Go(func() { g.serve(own) })
+	for i, p := range config.Peers {
+		dice := rand.New(rand.NewPCG(config.Seed, uint64(i)))
+		g.all.Go(func() { g.dial(p, own, dice) })
+	}
+	g.all.Go(g.tick)
+	return g
+}
+
+// now is a clock that only goes forward.
+func (g *Gateway) now() int64 { return time.Since(g.start).Microseconds() + 1 }
+
+// Drain tells peers that nothing new is taken, and hands nothing over any more.
+func (g *Gateway) Drain() {
+	g.mu.Lock()
+	g.drains = true
+	links := g.every()
+	g.mu.Unlock()
+	for _, k := range links {
+		k.beat()
+	}
+}
+
+// Close ends all connections. What is across ends as with a cut link.
+func (g *Gateway) Close() {
+	g.stop()
+	g.l.Close()
+	g.mu.Lock()
+	links := g.every()
+	g.mu.Unlock()
+	for _, k := range links {
+		k.close()
+	}
+	g.all.Wait()
+}
+
+// every link, dialled or accepted. It is called with the lock.
+func (g *Gateway) every() (out []*link) {
+	for _, k := range g.links {
+		out = append(out, k)
+	}
+	return out
+}
+
+// act carries out what the gate has decided. It is called with the lock, which it
+// gives back.
+func (g *Gateway) act() {
+	var todo []func()
+	for _, a := range g.gate.Actions() {
+		switch a.Kind {
+		case crossing.GiveUp:
+			if k := g.links[a.Peer]; k != nil {
+				delete(g.links, a.Peer)
+				todo = append(todo, k.close)
+			}
+		case crossing.Withdraw:
+			if c := g.calls[a.Txn]; c != nil {
+				todo = append(todo, func() { c.link.cancel(c.number) })
+				if g.gate.Has(a.Txn) == false {
+					g.forget(a.Txn)
+				}
+			}
+		case crossing.Answer:
+			if c := g.calls[a.Txn]; c != nil {
+				r := Reply{End: a.End}
+				if a.End == crossing.Completed {
+					r.Same, r.Tag, r.Issued, r.Body = c.answer.Same, c.answer.Tag, c.answer.Issued, c.body
+					c.body = nil
+				} else if c.answer != nil {
+					r.Stay = c.answer.Stay
+				}
+				g.forget(a.Txn)
+				todo = append(todo, func() { c.done(r) })
+			}
+		}
+	}
+	g.mu.Unlock()
+	for _, do := range todo {
+		do()
+	}
+}
+
+// forget ends a call's books.
+func (g *Gateway) forget(txn string) {
+	if c := g.calls[txn]; c != nil {
+		delete(g.calls, txn)
+		delete(c.link.calls, c.number)
+		c.body.Release()
+		c.body = nil
+	}
+}
+
+// Cross hands a txn over that the module has refused. Done is called once, from
+// another goroutine, unless Leave comes first; false: it was not handed over.
+func (g *Gateway) Cross(q *Request, done func(Reply)) bool {
+	id := q.Event.Txn
+	purges := g.host.Purges(q.Event.Object, q.Event.Group)
+	g.mu.Lock()
+	now := g.now()
+	if g.drains {
+		g.mu.Unlock()
+		return false
+	}
+	p, reason := g.gate.Cross(now, &crossing.Ask{Txn: id, Effect: q.Effect, Clean: q.Clean, Deadline: now + q.Event.Remaining})
+	if reason != crossing.Good {
+		g.mu.Unlock()
+		return false
+	}
+	k := g.links[p.Name]
+	if k == nil {
+		g.gate.Unsent(id)
+		g.gate.Actions()
+		g.mu.Unlock()
+		return false
+	}
+	k.next++
+	c := &call{link: k, number: k.next, done: done}
+	for _, u := range purges {
+		c.least = max(c.least, (u.At+999)/1000)
+	}
+	g.calls[id], k.calls[c.number] = c, id
+	ask := frames.Ask{At: now, Budget: q.Event.Remaining, Txn: id, Rule: q.Event.Rule, Object: q.Event.Object, Part: q.Event.Part,
+		Group: q.Event.Group, Tag: q.Tag, Repeat: q.Event.Repeat, Write: q.Event.Write, Body: int32(q.Body.Len()),
+		Route: []string{g.config.Settings.Name}, Purges: purges}
+	b, err := frames.Append(nil, frames.KindAsk, c.number, &ask)
+	for _, chunk := range q.Body.Append(nil) {
+		for len(chunk) > 0 && err == nil {
+			n := min(len(chunk), frames.MostPayload)
+			b, err = frames.AppendRaw(b, frames.KindData, c.number, chunk[:n])
+			chunk = chunk[n:]
+		}
+	}
+	if err != nil { // a name too long for a frame
+		g.gate.Unsent(id)
+		g.gate.Actions()
+		g.forget(id)
+		g.mu.Unlock()
+		return false
+	}
+	// From here on it may come whole. A queue that has no room is proof that it doesn't.
+	if !g.gate.Written(id) || !k.put(b) {
+		g.gate.Withdrawn(id)
+		g.gate.Actions()
+		g.forget(id)
+		g.mu.Unlock()
+		return false
+	}
+	g.mu.Unlock()
+	return true
+}
+
+// Leave says that the client of a txn that is across has gone.
+func (g *Gateway) Leave(txn string) {
+	g.mu.Lock()
+	g.gate.Left(txn)
+	if c := g.calls[txn]; c != nil {
+		c.done = func(Reply) {}
+	}
+	g.act()
+}
+
+// Home tells how the module ended a txn of this site.
+func (g *Gateway) Home(refused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.gate.Home(g.now(), refused)
+}
+
+// tick sends beats and does what time brings.
+func (g *Gateway) tick() {
+	every := time.NewTicker(time.Duration(g.config.Settings.Beat) * time.Microsecond / 4)
+	defer every.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-g.ctx.Done():
+			return
+		case <-every.C:
+		}
+		g.mu.Lock()
+		g.gate.Tick(g.now())
+		var links []*link
+		if n%4 == 0 {
+			links = g.every()
+		}
+		g.act() // unlocks
+		for _, k := range links {
+			k.beat()
+		}
+	}
+}
+
+// dial keeps a connection to a peer. After a failure it waits, doubling, by chance
+// up to half longer, so that routers that lost one peer don't come back as one.
+func (g *Gateway) dial(p Peer, own uint64, dice *rand.Rand) {
+	const first, most = 50 * time.Millisecond, 2 * time.Second
+	wait, told := first, ""
+	for g.ctx.Err() == nil {
+		err := g.connect(p, own)
+		if err == nil || errors.Is(err, errEnded) {
+			wait, told = first, ""
+		}
+		if g.ctx.Err() != nil {
+			return
+		}
+		if text := reasonOf(err); text != told {
+			told = text
+			g.log.WithFields(logrus.Fields{"peer": p.Name, "reason": text}).WithError(err).Warn("gateway: no connection to a peer")
+		}
+		select {
+		case <-g.ctx.Done():
+		case <-time.After(wait + time.Duration(dice.Int64N(int64(wait)/2))):
+		}
+		wait = min(2*wait, most)
+	}
+}
+
+// errEnded is behind the end of a connection that stood.
+var errEnded = errors.New("connection ended")
+
+const greetWithin = 2 * time.Second // a handshake and a greeting over any distance
+
+func (g *Gateway) connect(p Peer, own uint64) error {
+	d := net.Dialer{Timeout: greetWithin}
+	sock, err := d.DialContext(g.ctx, "tcp", p.Addr)
+	if err != nil {
+		return err
+	}
+	defer sock.Close()
+	sock.SetDeadline(time.Now().Add(greetWithin))
+	if g.config.Keys != nil {
+		c := tls.Client(sock, g.config.Keys.client(p.Name))
+		if err := c.HandshakeContext(g.ctx); err != nil {
+			return err
+		}
+		sock = c
+	}
+	k := newLink(g, sock, p.Name)
+	if err := k.greet(own); err != nil {
+		return err
+	}
+	hello, err := k.hello()
+	if err != nil {
+		return err
+	}
+	if hello.Name != p.Name || hello.Site != p.Site {
+		return fmt.Errorf("%w: it calls itself %.40q of %.40q", frames.ErrBroken, hello.Name, hello.Site)
+	}
+	sock.SetDeadline(time.Time{})
+	g.mu.Lock()
+	if !g.gate.Up(g.now(), p.Name, hello.Incarnation) {
+		g.mu.Unlock()
+		return fmt.Errorf("%w: an earlier start of it", frames.ErrBroken)
+	}
+	g.links[p.Name] = k
+	g.act()
+	g.log.WithFields(logrus.Fields{"peer": p.Name, "site": p.Site}).Info("gateway: connected")
+	g.all.Go(k.write)
+	k.beat()
+	err = k.readAnswers()
+	k.close()
+	g.mu.Lock()
+	if g.links[p.Name] == k {
+		delete(g.links, p.Name)
+		g.gate.Lost(p.Name)
+	}
+	g.act()
+	g.log.WithField("peer", p.Name).WithError(err).Info("gateway: connection lost")
+	return fmt.Errorf("%w: %w", errEnded, err)
+}
+
+// serve takes connections of peers.
+func (g *Gateway) serve(own uint64) {
+	for {
+		sock, err := g.l.Accept()
+		if err != nil {
+			return
+		}
+		g.all.Go(func() {
+			defer sock.Close()
+			if err := g.accept(sock, own); err != nil && g.ctx.Err() == nil {
+				g.log.WithFields(logrus.Fields{"from": sock.RemoteAddr().String(), "reason": reasonOf(err)}).WithError(err).Debug("gateway: connection from a peer ended")
+			}
+		})
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -24,6 +25,29 @@
 type Config struct {
 	Disk    *Disk    `yaml:"disk"`
 	Metrics *Metrics `yaml:"metrics"`
+	Gateway *Gateway `yaml:"gateway"`
+}
+
+// Gateway joins this router to routers of another site.
+type Gateway struct {
+	Name    string  `yaml:"name"` // as peers' files and certificates have it
+	Site    string  `yaml:"site"`
+	Listen  string  `yaml:"listen"`
+	Peers   []Peer  `yaml:"peers"`
+	Most    int     `yaml:"most"`
+	Reserve float64 `yaml:"reserve"`
+	BeatMS  int     `yaml:"beat_ms"`
+	Cert    string  `yaml:"cert"`
+	Key     string  `yaml:"key"`
+	CA      string  `yaml:"ca"`
+	Status  string  `yaml:"status_file"`
+}
+
+// Peer is a router of another site.
+type Peer struct {
+	Name string `yaml:"name"`
+	Site string `yaml:"site"`
+	Addr string `yaml:"addr"`
 }
 
 // Disk is the tier of copies on disk.
@@ -120,6 +144,48 @@
 			return yamlfile.Wrong("metrics.every_s", "%d is not within 1 and 3600", m.EveryS)
 		}
 	}
+	if g := c.Gateway; g != nil {
+		return g.check()
+	}
+	return nil
+}
+
+func (g *Gateway) check() error {
+	for key, text := range map[string]string{"name": g.Name, "site": g.Site, "cert": g.Cert, "key": g.Key, "ca": g.CA} {
+		if text == "" {
+			return yamlfile.Wrong("gateway."+key, "missing")
+		}
+	}
+	if _, err := netip.ParseAddrPort(g.Listen); err != nil {
+		return yamlfile.Wrong("gateway.listen", "not an address with a port")
+	}
+	const mostPeers = 64 // each keeps two connections
+	if len(g.Peers) == 0 || len(g.Peers) > mostPeers {
+		return yamlfile.Wrong("gateway.peers", "%d of them, 1 to %d wanted", len(g.Peers), mostPeers)
+	}
+	seen := map[string]bool{g.Name: true}
+	for i, p := range g.Peers {
+		key := fmt.Sprintf("gateway.peers[%d]", i)
+		_, err := netip.ParseAddrPort(p.Addr)
+		switch {
+		case p.Name == "" || seen[p.Name]:
+			return yamlfile.Wrong(key+".name", "%q is empty, stands twice or is this router's", p.Name)
+		case p.Site == "" || p.Site == g.Site:
+			return yamlfile.Wrong(key+".site", "%q is empty or this router's own", p.Site)
+		case err != nil:
+			return yamlfile.Wrong(key+".addr", "not an address with a port")
+		}
+		seen[p.Name] = true
+	}
+	g.Most, g.BeatMS = cmp.Or(g.Most, 256), cmp.Or(g.BeatMS, 250)
+	switch {
+	case g.Most < 1 || g.Most > 100_000:
+		return yamlfile.Wrong("gateway.most", "%d is not within 1 and 100000", g.Most)
+	case !(g.Reserve >= 0 && g.Reserve < 1):
+		return yamlfile.Wrong("gateway.reserve", "%g is not within 0 and 1", g.Reserve)
+	case g.BeatMS < 20 || g.BeatMS > 5000:
+		return yamlfile.Wrong("gateway.beat_ms", "%d is not within 20 and 5000", g.BeatMS)
+	}
 	return nil
 }
 
@@ -131,6 +197,9 @@
 	if !reflect.DeepEqual(c.Metrics, other.Metrics) {
 		keys = append(keys, "metrics")
 	}
+	if !reflect.DeepEqual(c.Gateway, other.Gateway) {
+		keys = append(keys, "gateway")
+	}
 	return keys
 }
 
