--- a/internal/crossing/crossing.go
+++ b/internal/crossing/crossing.go
@@ -471,7 +471,9 @@
 		most := min(p.Limit, float64(p.Room))
 		switch {
 		case now+need >= a.Deadline:
-			reason = max(reason, NoTime)
+			if reason == NoPeer {
+				reason = NoTime
+			}
 		case float64(p.Out) >= most:
 			reason = NoRoom
 		case best == nil || float64(p.Out)/most < least:
@@ -488,11 +490,15 @@
 }
 
 // Written takes that the txn's request goes onto the connection: from now on it
-// may have come whole. False: it ended before, and must not be written.
+// may have come whole. False: it has ended, or was written already, and must not
+// be written.
 func (g *Gate) Written(id string) bool {
-	g.step(id, inWritten, 0)
 	c := g.out[id]
-	return c != nil && c.state == out
+	if c == nil || c.state != chosen {
+		return false
+	}
+	g.step(id, inWritten, 0)
+	return true
 }
 
 // Unsent takes that it was not written and will not be.
--- /dev/null
+++ b/internal/frames/frames_test.go
@@ -0,0 +1,116 @@
+package frames
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"reflect"
+	"testing"
+)
+
+var ask = Ask{At: 5, Budget: 1_500_000, Txn: "00000000000000aa", Rule: "demo-video", Object: "o1", Part: 3, Group: 17, Tag: "t", Body: 9,
+	Route: []string{"n1"}, Purges: []Purge{{At: 7}, {Group: true, At: 8}}}
+
+func TestFrames(t *testing.T) {
+	b, err := Append(nil, KindHello, 0, &Hello{Version: Version, Name: "n1", Site: "north", Incarnation: 1 << 60})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, _ = Append(b, KindAsk, 7, &ask)
+	b, _ = AppendRaw(b, KindData, 7, []byte("123456789"))
+	b = AppendWindow(b, 7, 4096)
+	b, _ = AppendRaw(b, KindCancel, 7, nil)
+	b, _ = Append(b, KindAnswer, 7, &Answer{Outcome: 1, Issued: 99, Tag: "x", Body: 3})
+	r := NewReader(bytes.NewReader(b))
+	var h Hello
+	var a Ask
+	var z Answer
+	for i, into := range []any{&h, &a, nil, nil, nil, &z} {
+		f, err := r.Next()
+		if err != nil {
+			t.Fatal(i, err)
+		}
+		if into != nil {
+			if err := f.Decode(into); err != nil {
+				t.Fatal(i, err)
+			}
+		}
+		if f.Kind == KindWindow && f.Window() != 4096 || f.Kind == KindData && string(f.Payload) != "123456789" {
+			t.Fatalf("%+v", f)
+		}
+	}
+	if !reflect.DeepEqual(a, ask) || h.Incarnation != 1<<60 || z.Issued != 99 {
+		t.Fatalf("%+v %+v %+v", a, h, z)
+	}
+	if _, err := r.Next(); err != io.EOF {
+		t.Fatal(err)
+	}
+	if _, err := AppendRaw(nil, KindData, 1, make([]byte, MostPayload+1)); !errors.Is(err, ErrBroken) {
+		t.Fatal(err)
+	}
+}
+
+func TestBadFrames(t *testing.T) {
+	for name, b := range map[string][]byte{
+		"too long":          {1, 64, 0, byte(KindData), 1, 0, 0, 0},
+		"no kind":           {0, 0, 0, 0, 1, 0, 0, 0},
+		"unknown kind":      {0, 0, 0, 99, 1, 0, 0, 0},
+		"short window":      {1, 0, 0, byte(KindWindow), 1, 0, 0, 0, 5},
+		"cancel with more":  {1, 0, 0, byte(KindCancel), 1, 0, 0, 0, 5},
+		"greeting of a txn": {0, 0, 0, byte(KindHello), 1, 0, 0, 0},
+		"txn without one":   {0, 0, 0, byte(KindAsk), 0, 0, 0, 0},
+	} {
+		if _, err := NewReader(bytes.NewReader(b)).Next(); !errors.Is(err, ErrBroken) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := NewReader(bytes.NewReader([]byte{9, 0, 0, byte(KindData), 1, 0, 0, 0, 1})).Next(); err != io.ErrUnexpectedEOF {
+		t.Errorf("cut: %v", err)
+	}
+	for _, p := range []string{"", "\xff", "\x9f\x01\xff", "\x9a\xff\xff\xff\xff", "\xc0\x60", "\x81\x81\x81\x81\x81\x81\x01"} {
+		if err := (Frame{Payload: []byte(p)}).Decode(new(Ask)); !errors.Is(err, ErrBroken) {
+			t.Errorf("%q: %v", p, err)
+		}
+	}
+}
+
+// Whatever comes is read without a panic, in frames of bounded size.
+func FuzzFrames(f *testing.F) {
+	b, _ := Append(nil, KindAsk, 7, &ask)
+	b, _ = Append(b, KindBeat, 0, &Beat{At: 1, Room: 3})
+	f.Add(b)
+	f.Add(AppendWindow(nil, 3, 9))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := NewReader(bytes.NewReader(b))
+		for {
+			x, err := r.Next()
+			if err != nil {
+				return
+			}
+			if len(x.Payload) > MostPayload {
+				t.Fatal(len(x.Payload))
+			}
+			x.Decode(new(Hello))
+			x.Decode(new(Beat))
+			x.Decode(new(Ask))
+			x.Decode(new(Answer))
+		}
+	})
+}
+
+// A txn's request and answer, written and read.
+func BenchmarkAskAndAnswer(b *testing.B) {
+	answer := Answer{Outcome: 1, Issued: 1 << 40, Tag: "0123456789abcdef", Body: 100_000}
+	var buf []byte
+	var a Ask
+	var z Answer
+	b.ReportAllocs()
+	for b.Loop() {
+		buf, _ = Append(buf[:0], KindAsk, 7, &ask)
+		n := len(buf)
+		buf, _ = Append(buf, KindAnswer, 7, &answer)
+		(Frame{Payload: buf[headSize:n]}).Decode(&a)
+		(Frame{Payload: buf[n+headSize:]}).Decode(&z)
+	}
+	b.ReportMetric(float64(len(buf)), "bytes")
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,510 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"quilldoor/internal/buffer"
+	"quilldoor/internal/crossing"
+	"quilldoor/internal/frames"
+	"quilldoor/logic"
+)
+
+// wire is a proxy between two sites that can be delayed and cut, each way alone.
+type wire struct {
+	net.Listener
+	to    string
+	delay atomic.Int64
+	dead  [2]atomic.Bool // what goes there, what comes back: swallowed
+	mu    sync.Mutex
+	open  []net.Conn
+}
+
+func newWire(t *testing.T, to string) *wire {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wire{Listener: l, to: to}
+	t.Cleanup(func() { l.Close(); w.cut() })
+	go func() {
+		for {
+			a, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b, err := net.Dial("tcp", w.to)
+			if err != nil {
+				a.Close()
+				continue
+			}
+			w.mu.Lock()
+			w.open = append(w.open, a, b)
+			w.mu.Unlock()
+			go w.pass(a, b, 0)
+			go w.pass(b, a, 1)
+		}
+	}()
+	return w
+}
+
+func (w *wire) pass(from, to net.Conn, way int) {
+	defer to.Close()
+	b := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		time.Sleep(time.Duration(w.delay.Load()))
+		if w.dead[way].Load() {
+			continue
+		}
+		if _, err := to.Write(b[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (w *wire) cut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.open {
+		c.Close()
+	}
+	w.open = nil
+}
+
+// side is a gateway with a host that the test scripts.
+type side struct {
+	*Gateway
+	hook   *logtest.Hook
+	pool   *buffer.Pool
+	addr   string
+	carry  func(left <-chan struct{}, q *Request) Reply
+	known  []frames.Purge
+	mu     sync.Mutex
+	purges []string
+	ran    map[string]int
+}
+
+func (s *side) Carry(left <-chan struct{}, q *Request) Reply {
+	s.mu.Lock()
+	s.ran[q.Event.Txn]++
+	carry := s.carry
+	s.mu.Unlock()
+	return carry(left, q)
+}
+
+// does scripts the host.
+func (s *side) does(carry func(left <-chan struct{}, q *Request) Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.carry = carry
+}
+func (s *side) Purges(string, int64) []frames.Purge { return s.known }
+func (s *side) Purge(object string, group, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.purges = append(s.purges, fmt.Sprintf("%q %d %d", object, group, at))
+}
+
+func (s *side) body(text string) *buffer.Body {
+	b, err := s.pool.Read(strings.NewReader(text), len(text))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func text(b *buffer.Body) string { return string(bytes.Join(b.Append(nil), nil)) }
+
+func newSide(t *testing.T, name, site string, peers []Peer, keys *Keys) *side {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, hook := logtest.NewNullLogger()
+	log.SetLevel(logrus.DebugLevel)
+	s := &side{hook: hook, pool: buffer.NewPool(4 << 20), addr: l.Addr().String(), ran: map[string]int{}}
+	s.carry = func(_ <-chan struct{}, q *Request) Reply {
+		return Reply{End: crossing.Completed, Tag: "tag", Issued: 1000, Body: s.body("answer to " + q.Event.Object)}
+	}
+	s.Gateway = Start(Config{Peers: peers, Keys: keys, Upload: 48_000, Answer: 240_000, Seed: 1,
+		Settings: crossing.Settings{Name: name, Site: site, Most: 100, Reserve: 0.2, Beat: 40_000}}, l, s, s.pool, log.WithField("side", name))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 5000 {
+		if ok() {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal(what, "has not come")
+}
+
+func (s *side) trusts(name string) bool {
+	s.Gateway.mu.Lock()
+	defer s.Gateway.mu.Unlock()
+	p := s.gate.Peer(name)
+	return p.Trust == crossing.Trusted && p.Room > 0
+}
+
+// pair is two sites, north hands over to south through a wire.
+func pair(t *testing.T) (north, south *side, w *wire) {
+	t.Helper()
+	south = newSide(t, "s", "south", []Peer{{"n", "north", "127.0.0.1:1"}}, nil)
+	w = newWire(t, south.addr)
+	north = newSide(t, "n", "north", []Peer{{"s", "south", w.Addr().String()}}, nil)
+	until(t, "trust", func() bool { return north.trusts("s") })
+	return north, south, w
+}
+
+var count atomic.Int64
+
+// send hands a txn over, and returns how it ended, or nil if it wasn't.
+func (s *side) send(effect crossing.Effect, object string, body *buffer.Body, within time.Duration) chan Reply {
+	out := make(chan Reply, 9)
+	q := &Request{Event: logic.Event{Txn: fmt.Sprintf("%016x", count.Add(1)), Rule: "r", Object: object, Group: 7,
+		Remaining: within.Microseconds(), Write: body != nil}, Effect: effect, Clean: true, Body: body}
+	if !s.Cross(q, func(r Reply) { out <- r }) {
+		return nil
+	}
+	return out
+}
+
+func get(t *testing.T, c chan Reply) Reply {
+	t.Helper()
+	if c == nil {
+		t.Fatal("not handed over")
+	}
+	select {
+	case r := <-c:
+		select {
+		case again := <-c:
+			t.Fatalf("a second end: %+v", again)
+		case <-time.After(20 * time.Millisecond):
+		}
+		return r
+	case <-time.After(5 * time.Second):
+		t.Fatal("no end")
+	}
+	return Reply{}
+}
+
+func TestAcross(t *testing.T) {
+	north, south, _ := pair(t)
+	r := get(t, north.send(crossing.Safe, "film", nil, time.Second))
+	if r.End != crossing.Completed || text(r.Body) != "answer to film" || r.Tag != "tag" || r.Issued != 1000 {
+		t.Fatalf("%+v %q", r, text(r.Body))
+	}
+	r.Body.Release()
+	// Large bodies both ways, past the first window.
+	long := strings.Repeat("0123456789abcdef", 15_000)
+	south.does(func(_ <-chan struct{}, q *Request) Reply {
+		return Reply{End: crossing.Completed, Body: south.body(text(q.Body) + long[:240_000-q.Body.Len()])}
+	})
+	for range 5 {
+		body := north.body(long[:48_000])
+		r = get(t, north.send(crossing.Unsafe, "sign", body, time.Second))
+		if want := long[:48_000] + long[:192_000]; r.End != crossing.Completed || text(r.Body) != want {
+			t.Fatalf("%v, %d bytes", r.End, r.Body.Len())
+		}
+		r.Body.Release()
+		body.Release()
+	}
+	for want, far := range map[crossing.Outcome]Reply{crossing.Rejected: {End: crossing.Rejected, Proof: true, Stay: 7}, crossing.Aborted: {End: crossing.Aborted}} {
+		south.does(func(<-chan struct{}, *Request) Reply { return far })
+		if r := get(t, north.send(crossing.Unsafe, "x", nil, time.Second)); r.End != want {
+			t.Errorf("%v for %+v", r.End, far)
+		}
+	}
+	until(t, "the end of all", func() bool { return north.Status().Out == 0 && south.Status().In == 0 })
+	for _, s := range []*side{north, south} { // all buffers are back
+		for n := 0; n < 512; n++ {
+			if _, err := s.pool.Read(strings.NewReader("x"), 1); err != nil {
+				t.Fatalf("%d buffers left of 512", n)
+			}
+		}
+	}
+}
+
+// The far side falls silent after it may have run the txn: one end, and it is run
+// once at the most, also when the far side wakes up or comes back.
+func TestFarSideFallsSilent(t *testing.T) {
+	north, south, w := pair(t)
+	running, wake := make(chan bool, 9), make(chan bool)
+	south.does(func(_ <-chan struct{}, q *Request) Reply {
+		running <- true
+		<-wake
+		return Reply{End: crossing.Completed}
+	})
+	for name, c := range map[string]struct {
+		effect crossing.Effect
+		want   crossing.Outcome
+		fall   func()
+	}{
+		"cut, unsafe":           {crossing.Unsafe, crossing.Aborted, w.cut},
+		"cut, safe":             {crossing.Safe, crossing.Rejected, w.cut},
+		"answers lost, unsafe":  {crossing.Unsafe, crossing.Aborted, func() { w.dead[1].Store(true) }},
+		"requests lost, unsafe": {crossing.Unsafe, crossing.Aborted, func() { w.dead[0].Store(true) }},
+		"both lost, safe":       {crossing.Safe, crossing.Rejected, func() { w.dead[0].Store(true); w.dead[1].Store(true) }},
+	} {
+		until(t, name+": trust", func() bool { return north.trusts("s") })
+		out := north.send(c.effect, name, nil, 3*time.Second)
+		<-running
+		began := time.Now()
+		c.fall()
+		r := get(t, out)
+		if r.End != c.want {
+			t.Errorf("%s: %v, want %v", name, r.End, c.want)
+		}
+		// Known by the cut or by five beats, not by the txn's time.
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("%s: told after %v", name, took)
+		}
+		w.dead[0].Store(false)
+		w.dead[1].Store(false)
+		w.cut()
+		wake <- true
+	}
+	south.mu.Lock()
+	defer south.mu.Unlock()
+	for txn, n := range south.ran {
+		if n > 1 {
+			t.Errorf("txn %s run %d times", txn, n)
+		}
+	}
+	if len(south.ran) != 5 {
+		t.Errorf("%d txns run", len(south.ran))
+	}
+}
+
+// A link that is slow ends a txn in its time; one that is cut and joined again and
+// again loses none and doubles none.
+func TestManyCuts(t *testing.T) {
+	north, south, w := pair(t)
+	w.delay.Store(int64(2 * time.Millisecond))
+	var ends sync.Map
+	var all sync.WaitGroup
+	over := make(chan bool)
+	var handed, ended atomic.Int64
+	for range 4 {
+		all.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				effect := crossing.Effect(i % 3)
+				out := north.send(effect, "x", nil, 300*time.Millisecond)
+				if out == nil {
+					time.Sleep(time.Millisecond)
+					continue
+				}
+				handed.Add(1)
+				select {
+				case r := <-out:
+					ended.Add(1)
+					r.Body.Release()
+					n, _ := ends.LoadOrStore(r.End, new(atomic.Int64))
+					n.(*atomic.Int64).Add(1)
+				case <-time.After(2 * time.Second):
+					t.Error("a txn without an end")
+					return
+				}
+			}
+		})
+	}
+	for range 12 {
+		time.Sleep(120 * time.Millisecond)
+		w.cut()
+	}
+	close(over)
+	all.Wait()
+	south.mu.Lock()
+	defer south.mu.Unlock()
+	for txn, n := range south.ran {
+		if n > 1 {
+			t.Errorf("txn %s run %d times", txn, n)
+		}
+	}
+	if handed.Load() != ended.Load() || handed.Load() < 50 {
+		t.Fatalf("%d handed over, %d ended", handed.Load(), ended.Load())
+	}
+	ends.Range(func(k, v any) bool { t.Logf("outcome %v: %d", k, v.(*atomic.Int64).Load()); return true })
+}
+
+// What the asking side knows of purges goes along, and what is older doesn't come
+// back.
+func TestPurgesAcross(t *testing.T) {
+	north, south, _ := pair(t)
+	north.known = []frames.Purge{{At: 999_000}, {Group: true, At: 1_000_000}}
+	if r := get(t, north.send(crossing.Safe, "film", nil, time.Second)); r.End != crossing.Rejected {
+		t.Fatalf("%v with a copy as old as the purge", r.End)
+	}
+	south.mu.Lock()
+	if got := strings.Join(south.purges, "; "); got != `"film" 0 999000; "" 7 1000000` {
+		t.Errorf("the far side heard %s", got)
+	}
+	south.mu.Unlock()
+	north.known = []frames.Purge{{At: 999_000}}
+	r := get(t, north.send(crossing.Safe, "film", nil, time.Second))
+	if r.End != crossing.Completed {
+		t.Fatalf("%v with a younger one", r.End)
+	}
+	r.Body.Release()
+}
+
+// A client that leaves, and a router that drains.
+func TestLeaveAndDrain(t *testing.T) {
+	north, south, _ := pair(t)
+	gone := make(chan bool, 1)
+	south.does(func(left <-chan struct{}, q *Request) Reply {
+		<-left
+		gone <- true
+		return Reply{End: crossing.Aborted}
+	})
+	out := north.send(crossing.Safe, "x", nil, 3*time.Second)
+	until(t, "the txn", func() bool { return south.Status().In == 1 })
+	north.Leave(fmt.Sprintf("%016x", count.Load()))
+	<-gone
+	if len(out) > 0 {
+		t.Error("an end for a client that had left")
+	}
+	south.Drain()
+	until(t, "the news of the drain", func() bool { return north.Status().Peers[0].Trust == "leaving" })
+	if north.send(crossing.Safe, "x", nil, time.Second) != nil {
+		t.Error("handed over to one that drains")
+	}
+}
+
+// What no peer of ours writes costs its own connection, and nothing else.
+func TestBadPeers(t *testing.T) {
+	north, south, _ := pair(t)
+	hello := func(version uint16, name string) []byte {
+		b, _ := frames.Append(nil, frames.KindHello, 0, &frames.Hello{Version: version, Name: name, Site: "north", Incarnation: 9})
+		return b
+	}
+	good := hello(frames.Version, "n")
+	ask := func(number uint32, a frames.Ask) []byte {
+		b, _ := frames.Append(nil, frames.KindAsk, number, &a)
+		return b
+	}
+	one := frames.Ask{Budget: 1e6, Txn: "00000000000000ff", Rule: "r", Object: "o", Route: []string{"n"}, Body: 5}
+	huge, late, many := one, one, one
+	huge.Body, late.Budget = 1<<30, 0
+	for range 17 {
+		many.Purges = append(many.Purges, frames.Purge{At: 1})
+	}
+	data, _ := frames.AppendRaw(nil, frames.KindData, 4, []byte("longer than five"))
+	answer, _ := frames.Append(nil, frames.KindAnswer, 4, &frames.Answer{Outcome: 1})
+	for name, b := range map[string][]byte{
+		"another version": hello(9, "n"), "a stranger": hello(frames.Version, "x"), "nonsense": []byte("GET / HTTP/1.1\r\n\r\n"),
+		"oversized": append(good, 255, 255, 255, byte(frames.KindData), 1, 0, 0, 0), "no greeting": ask(4, one),
+		"huge body": append(good, ask(4, huge)...), "no time": append(good, ask(4, late)...), "many purges": append(good, ask(4, many)...),
+		"number twice": append(append(good, ask(4, one)...), ask(4, one)...), "endless body": append(append(good, ask(4, one)...), data...),
+		"an answer": append(good, answer...), "odd window": append(append(good, ask(4, one)...), frames.AppendWindow(nil, 4, 1<<30)...),
+	} {
+		c, err := net.Dial("tcp", south.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Write(b)
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.Copy(io.Discard, c); err != nil && !strings.Contains(err.Error(), "reset") {
+			t.Errorf("%s: the connection goes on: %v", name, err)
+		}
+		c.Close()
+	}
+	r := get(t, north.send(crossing.Safe, "x", nil, time.Second))
+	if r.End != crossing.Completed {
+		t.Fatalf("%v after all that", r.End)
+	}
+	r.Body.Release()
+	until(t, "the end of what they left", func() bool { return south.Status().In == 0 })
+}
+
+// Certificates: good ones, and each kind of bad one told by its reason.
+func TestKeys(t *testing.T) {
+	dir, other, old := t.TempDir(), t.TempDir(), t.TempDir()
+	for d, lasts := range map[string]time.Duration{dir: time.Hour, other: time.Hour, old: -time.Second} {
+		if err := MakeKeys(d, []string{"n", "s", "x"}, lasts); err != nil {
+			t.Fatal(err)
+		}
+	}
+	keys := func(d, name, ca string) *Keys {
+		k := &Keys{Cert: filepath.Join(d, name+".pem"), Key: filepath.Join(d, name+".key"), CA: filepath.Join(ca, "ca.pem")}
+		if err := k.Load(); err != nil {
+			t.Fatal(err)
+		}
+		return k
+	}
+	logged := func(s *side, what string) {
+		t.Helper()
+		until(t, what, func() bool {
+			for _, e := range s.hook.AllEntries() {
+				if e.Data["reason"] == what {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	own := keys(dir, "s", dir)
+	south := newSide(t, "s", "south", []Peer{{"n", "north", "127.0.0.1:1"}}, own)
+	join := func(k *Keys) *side { return newSide(t, "n", "north", []Peer{{"s", "south", south.addr}}, k) }
+	north := join(keys(dir, "n", dir))
+	until(t, "trust", func() bool { return north.trusts("s") })
+	r := get(t, north.send(crossing.Safe, "film", nil, time.Second))
+	if r.End != crossing.Completed {
+		t.Fatal(r.End)
+	}
+	r.Body.Release()
+	logged(join(keys(dir, "n", other)), "certificate of an unknown issuer")
+	join(keys(other, "n", dir))
+	logged(south, "certificate of an unknown issuer")
+	join(keys(old, "n", dir))
+	logged(south, "certificate expired")
+	wrong := newSide(t, "n", "north", []Peer{{"x", "south", south.addr}}, keys(dir, "n", dir))
+	logged(wrong, "certificate of another name")
+	liar := newSide(t, "n", "north", []Peer{{"s", "south", south.addr}}, keys(dir, "x", dir))
+	time.Sleep(100 * time.Millisecond)
+	if liar.trusts("s") {
+		t.Error("a router with another's certificate is trusted")
+	}
+	// New files come into force without dropping what is there; a bad one changes nothing.
+	os.WriteFile(own.Cert, []byte("no certificate"), 0o600)
+	if own.Load() == nil {
+		t.Error("a bad file was taken")
+	}
+	if err := MakeKeys(dir, []string{"s"}, time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	if err := own.Load(); err != nil {
+		t.Fatal(err)
+	}
+	r = get(t, north.send(crossing.Safe, "film", nil, time.Second))
+	if r.End != crossing.Completed {
+		t.Fatal("the connection of before was dropped")
+	}
+	r.Body.Release()
+}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -45,6 +45,7 @@
 	body   *buffer.Body
 	left   chan struct{}
 	gone   bool
+	begun  bool // it has come whole, and carry ends it
 	window int
 	grown  chan struct{} // the window has
 }
@@ -321,8 +322,10 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		delete(g.links, "from "+k.peer+sock.RemoteAddr().String())
-		for _, s := range k.served {
-			s.leave()
+		for number, s := range k.served {
+			if s.leave(); !s.begun { // half a body
+				k.drop(number, s, false)
+			}
 		}
 	}()
 	return k.readAsks()
@@ -402,7 +405,7 @@
 		return k.finish(f.Number, &frames.Answer{Outcome: uint8(crossing.Rejected), Proof: true})
 	}
 	k.served[f.Number] = s
-	if a.Body > 0 {
+	if s.begun = a.Body == 0; !s.begun {
 		s.body = g.bodies.Empty()
 	}
 	g.mu.Unlock()
@@ -427,7 +430,11 @@
 	g := k.g
 	g.mu.Lock()
 	s := k.served[number]
-	if s == nil { // turned away
+	if s == nil || s.begun { // turned away, or no more is wanted
+		if s != nil {
+			g.mu.Unlock()
+			return fmt.Errorf("%w: %d bytes behind a whole body", frames.ErrBroken, len(b))
+		}
 		g.mu.Unlock()
 		return nil
 	}
@@ -436,7 +443,8 @@
 		return fmt.Errorf("%w: %d bytes more than were told", frames.ErrBroken, len(b))
 	}
 	full := !s.body.Add(b)
-	whole := s.body.Len() == int(s.ask.Body)
+	whole := !full && s.body.Len() == int(s.ask.Body)
+	s.begun = s.begun || whole
 	g.mu.Unlock()
 	switch {
 	case full:
@@ -469,11 +477,15 @@
 
 // end forgets a txn of the peer.
 func (k *link) end(number uint32, s *served, completed bool) {
-	g := k.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	k.g.mu.Lock()
+	defer k.g.mu.Unlock()
+	k.drop(number, s, completed)
+}
+
+// drop is end with the lock held.
+func (k *link) drop(number uint32, s *served, completed bool) {
 	delete(k.served, number)
-	g.gate.Served(g.now(), k.peer, s.ask.Txn, completed)
+	k.g.gate.Served(k.g.now(), k.peer, s.ask.Txn, completed)
 	s.body.Release()
 	s.body = nil
 }
