--- a/cmd/quilldoor-lab/emulate.go
+++ b/cmd/quilldoor-lab/emulate.go
@@ -154,6 +154,9 @@
 		r.Worth(), r.Taken, r.Hops, r.Lost, r.Fallen, r.LedgerStops)
 	fmt.Fprintf(to, "bytes into offices %.2f of those asked for, from the ledger %.2f; ends of hops %v\n",
 		r.FilledKB/r.AskedKB, r.LedgerKB/r.AskedKB, r.Ends)
+	if r.Crossed > 0 {
+		fmt.Fprintf(to, "handed over to another site %d, completed there %d\n", r.Crossed, r.CrossedDone)
+	}
 	timeline(to, r)
 	if len(r.Breaks) == 0 {
 		fmt.Fprintf(to, "the referee judged %d tries: no rule broken\n", r.Judged)
--- /dev/null
+++ b/internal/emulate/sites.go
@@ -0,0 +1,249 @@
+package emulate
+
+import (
+	"fmt"
+
+	"quilldoor/internal/core"
+	"quilldoor/internal/crossing"
+	"quilldoor/internal/record"
+	"quilldoor/internal/world"
+	"quilldoor/logic"
+)
+
+// Sites joined on the virtual clock: the gates are the router's, the wire between
+// them is written out here: a way of some milliseconds, and bytes at ten flows.
+
+const (
+	beatEvery  = 250_000
+	sitePace   = 10 // flows that one txn's bytes cross at
+	siteRatio  = 0.5
+	mostAcross = 256
+)
+
+func nameOf(router int) string { return fmt.Sprint("n", router) }
+
+func (v *virtual) siteOf(r *vrouter) int { return v.set.Fleet.Site(v.world.Office(r.id)) }
+
+// join gives a starting router its gate.
+func (v *virtual) join(r *vrouter) {
+	site := v.siteOf(r)
+	if site < 0 {
+		return
+	}
+	peers := map[string]string{}
+	for i := range v.world.Routers() {
+		if s := v.set.Fleet.Site(v.world.Office(i)); s != site {
+			peers[nameOf(i)] = fmt.Sprint(s)
+		}
+	}
+	r.from = map[string]*vtxn{}
+	r.gate = crossing.New(crossing.Settings{Name: nameOf(r.id), Site: fmt.Sprint(site), Most: mostAcross, Reserve: siteRatio,
+		Beat: beatEvery}, peers)
+	self := r.core
+	var beat func()
+	beat = func() {
+		if r.core != self {
+			return
+		}
+		now := v.now()
+		r.gate.Tick(now)
+		v.crossed(r)
+		offer := r.gate.Offer(now)
+		for _, p := range v.peers(r) {
+			v.over(func() {
+				if p.gate == nil || p.core == nil || r.core != self {
+					return
+				}
+				if q := p.gate.Peer(nameOf(r.id)); q.Trust == crossing.Away || q.Incarnation < r.starts {
+					p.gate.Up(v.now(), nameOf(r.id), r.starts)
+				}
+				p.gate.Beat(v.now(), nameOf(r.id), offer, false, int64(2*v.set.Fleet.SiteMS*1000))
+				v.crossed(p)
+			})
+		}
+		v.world.After(beatEvery, beat)
+	}
+	v.world.After(int64(r.id%8)*beatEvery/8, beat)
+}
+
+// over takes something to the other site, unless the way is cut when it begins or
+// ends.
+func (v *virtual) over(do func()) {
+	if v.world.SitesCut() {
+		return
+	}
+	v.world.After(int64(v.set.Fleet.SiteMS*1000), func() {
+		if !v.world.SitesCut() {
+			do()
+		}
+	})
+}
+
+func (v *virtual) peers(r *vrouter) (out []*vrouter) {
+	for _, p := range v.routers {
+		if p.gate != nil && p.core != nil && v.siteOf(p) != v.siteOf(r) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// part is a router's death: peers lose its connection.
+func (v *virtual) part(r *vrouter) {
+	if r.gate == nil {
+		return
+	}
+	r.gate, r.from = nil, nil
+	for _, p := range v.peers(r) {
+		v.over(func() {
+			if p.gate != nil {
+				p.gate.Lost(nameOf(r.id))
+				v.crossed(p)
+			}
+		})
+	}
+}
+
+var effectOf = map[string]crossing.Effect{"safe": crossing.Safe, "keyed": crossing.Keyed, "unsafe": crossing.Unsafe}
+
+// cross hands over a txn that the module has refused; false: it stays.
+func (v *virtual) cross(t *vtxn, o core.Order) bool {
+	r, a, now := t.router, t.ask, v.now()
+	rule := v.world.RuleOf(a.Rule)
+	left := a.Deadline() - v.world.Now()
+	p, reason := r.gate.Cross(now, &crossing.Ask{Txn: a.Txn, Effect: effectOf[rule.Effect], Clean: !o.Ran, Deadline: now + left})
+	if reason != crossing.Good {
+		return false
+	}
+	r.gate.Written(a.Txn)
+	v.detach(t)
+	r.from[a.Txn] = t
+	t.over = true
+	v.world.Result.Crossed++
+	var far *vrouter
+	for _, x := range v.routers {
+		if nameOf(x.id) == p.Name {
+			far = x
+		}
+	}
+	v.over(func() { v.arrive(far, t, left-int64(v.set.Fleet.SiteMS*1000)) })
+	return true
+}
+
+// arrive is a txn at the other site.
+func (v *virtual) arrive(far *vrouter, t *vtxn, left int64) {
+	home, a := t.router, t.ask
+	if far.gate == nil || far.core == nil {
+		return // no process: the gate hears of it by silence
+	}
+	if far.gate.Arrive(v.now(), nameOf(home.id), a.Txn, []string{nameOf(home.id)}, 0) != crossing.Good || far.open[a.Txn] != nil {
+		v.back(far, home, t, crossing.Far{End: crossing.Rejected, Proof: true}, 0)
+		return
+	}
+	b := *a
+	b.Router = far.id
+	v.Note(&record.Entry{Kind: "carried", At: v.world.Now(), Router: far.id, Txn: a.Txn, Hop: home.id})
+	x := &vtxn{router: far, core: far.core, ask: &b, home: home}
+	txn, err := far.core.Open(v.now(), logic.Event{Txn: a.Txn, Rule: v.world.RuleOf(a.Rule).Name, Object: a.Object, Group: a.Group,
+		Part: a.Part, Remaining: left, Repeat: a.Again, Write: a.Write}, func() {
+		if !x.rung && !x.over {
+			x.rung = true
+			v.ready = append(v.ready, x)
+		}
+	})
+	if err != nil {
+		far.gate.Served(v.now(), nameOf(home.id), a.Txn, false)
+		v.back(far, home, t, crossing.Far{End: crossing.Rejected, Proof: true}, 0)
+		return
+	}
+	x.txn = txn
+	far.open[a.Txn] = x
+}
+
+// carriedBack is the far side's end of a txn.
+func (v *virtual) carriedBack(x *vtxn, outcome string, issued int64, o core.Order) {
+	x.over = true
+	v.detach(x)
+	far := x.router
+	far.gate.Served(v.now(), nameOf(x.home.id), x.ask.Txn, outcome == "completed")
+	end := crossing.Far{End: crossing.Aborted}
+	kb := 0.0
+	switch outcome {
+	case "completed":
+		end = crossing.Far{End: crossing.Completed, Issued: issued}
+		kb = x.ask.SizeKB
+		if x.ask.Write {
+			end.Issued = 0
+		}
+	case "rejected":
+		end = crossing.Far{End: crossing.Rejected, Proof: !o.Ran}
+	}
+	v.back(far, x.home, &vtxn{ask: x.ask}, end, kb)
+}
+
+// back takes an answer home.
+func (v *virtual) back(far, home *vrouter, t *vtxn, end crossing.Far, kb float64) {
+	pace := int64(kb / (sitePace * v.set.Fleet.FlowKBPerS) * 1e6)
+	v.world.After(pace, func() {
+		v.over(func() {
+			if home.gate == nil {
+				return
+			}
+			home.back(t.ask.Txn, end.Issued)
+			// Issues are the world's microseconds here; so are purges.
+			end.Least = v.purgedHere(home, t.ask)
+			home.gate.Returned(v.now(), nameOf(far.id), t.ask.Txn, end)
+			v.crossed(home)
+		})
+	})
+}
+
+// back keeps the issue for the answer that the gate may give.
+func (r *vrouter) back(txn string, issued int64) {
+	if t := r.from[txn]; t != nil {
+		t.issued = issued
+	}
+}
+
+// purgedHere is the youngest purge that a router was told of and that binds a txn.
+func (v *virtual) purgedHere(r *vrouter, a *world.Ask) (at int64) {
+	for _, p := range v.purges[r.id] {
+		if p.Object != "" && p.Object == a.Object || p.Object == "" && p.Group == a.Group {
+			at = max(at, p.At)
+		}
+	}
+	return at
+}
+
+// crossed carries out what a gate has decided.
+func (v *virtual) crossed(r *vrouter) {
+	for _, a := range r.gate.Actions() {
+		switch a.Kind {
+		case crossing.Answer:
+			t := r.from[a.Txn]
+			if t == nil {
+				continue
+			}
+			delete(r.from, a.Txn)
+			outcome := map[crossing.Outcome]string{crossing.Completed: "completed", crossing.Rejected: "rejected", crossing.Aborted: "aborted"}[a.End]
+			if outcome == "completed" {
+				v.world.Result.CrossedDone++
+			}
+			v.world.Final(r.id, a.Txn, outcome, t.issued, 500_000)
+		case crossing.Withdraw:
+			for _, p := range v.peers(r) {
+				if nameOf(p.id) != a.Peer {
+					continue
+				}
+				v.over(func() {
+					if x := p.open[a.Txn]; x != nil && x.home == r && p.gate != nil {
+						x.over = true
+						x.core.Leave(v.now(), x.txn)
+						v.detach(x)
+						p.gate.Served(v.now(), nameOf(r.id), a.Txn, false)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -8,6 +8,7 @@
 	"context"
 
 	"quilldoor/internal/core"
+	"quilldoor/internal/crossing"
 	"quilldoor/internal/record"
 	"quilldoor/internal/referee"
 	"quilldoor/internal/script"
@@ -62,6 +63,7 @@
 	due     dueHeap
 	kicked  []*vrouter
 	ready   []*vtxn
+	purges  map[int][]world.Notice // that routers were told of, where sites are joined
 }
 
 // vrouter is a router: its core, and the time of its next timer.
@@ -73,6 +75,8 @@
 	place  int
 	kick   bool
 	open   map[string]*vtxn
+	gate   *crossing.Gate   // nil: its site is alone
+	from   map[string]*vtxn // txns that it has handed over
 }
 
 type vtxn struct {
@@ -82,7 +86,8 @@
 	ask    *world.Ask
 	rung   bool
 	over   bool
-	answer int
+	issued int64
+	home   *vrouter // that handed it over; nil: it came from a client
 }
 
 type reply struct{ issued int64 }
@@ -92,7 +97,7 @@
 // Virtual plays a script on a virtual clock. The same script and seed give the
 // same result, whatever the machine.
 func Virtual(ctx context.Context, s *script.Script, opt Options) (*Result, error) {
-	v := &virtual{opt: opt, set: s, referee: referee.New(Figures(s, 8_000))}
+	v := &virtual{opt: opt, set: s, referee: referee.New(Figures(s, 8_000)), purges: map[int][]world.Notice{}}
 	v.world = world.New(s, opt.Seed, v)
 	for i := range v.world.Routers() {
 		r := &vrouter{id: i, next: 1 << 62, place: -1}
@@ -148,6 +153,7 @@
 		}
 	})
 	r.core = self
+	v.join(r)
 	r.core.Members(v.now(), "disk", servers(known))
 	v.run(r)
 }
@@ -209,11 +215,11 @@
 		case core.Drop:
 			v.world.Cancel(t.router.id, t.ask.Txn, o.Hop.N)
 		case core.Completed:
-			v.final(t, "completed", o.Reply.(reply).issued, 0)
+			v.ended(t, "completed", o.Reply.(reply).issued, o)
 		case core.Rejected:
-			v.final(t, "rejected", 0, o.Stay)
+			v.ended(t, "rejected", 0, o)
 		case core.Aborted:
-			v.final(t, "aborted", 0, 0)
+			v.ended(t, "aborted", 0, o)
 		}
 	}
 }
@@ -232,6 +238,23 @@
 	v.world.Hop(x)
 }
 
+// ended takes the module's final order: it is the answer, unless another site has
+// handed the txn over, or takes it.
+func (v *virtual) ended(t *vtxn, outcome string, issued int64, o core.Order) {
+	switch {
+	case t.over:
+	case t.home != nil:
+		v.carriedBack(t, outcome, issued, o)
+	case t.router.gate != nil:
+		t.router.gate.Home(v.now(), outcome == "rejected")
+		if outcome != "rejected" || !v.cross(t, o) {
+			v.final(t, outcome, issued, o.Stay)
+		}
+	default:
+		v.final(t, outcome, issued, o.Stay)
+	}
+}
+
 func (v *virtual) final(t *vtxn, outcome string, issued, stay int64) {
 	if t.over {
 		return
@@ -281,6 +304,12 @@
 
 // Leave says that a client has gone.
 func (v *virtual) Leave(router int, txn string) {
+	if r := v.routers[router]; r.from[txn] != nil {
+		delete(r.from, txn)
+		r.gate.Left(txn)
+		v.crossed(r)
+		return
+	}
 	if t := v.routers[router].open[txn]; t != nil {
 		t.over = true
 		t.core.Leave(v.now(), t.txn)
@@ -307,6 +336,9 @@
 		return
 	}
 	if n.Purge {
+		if r.gate != nil {
+			v.purges[router] = append(v.purges[router], n)
+		}
 		r.core.Purge(v.now(), n.Object, n.Group, n.At+epoch)
 		return
 	}
@@ -320,6 +352,7 @@
 		t.over = true
 	}
 	r.core, r.open = nil, map[string]*vtxn{}
+	v.part(r)
 	if r.place >= 0 {
 		heap.Remove(&v.due, r.place)
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -7,6 +7,7 @@
 //	taken       a router has a client's request whole
 //	sent        it sends a hop; came: that has come to its server; ran: its work
 //	            began, so that it may have its effect; end: its end came back
+//	carried     it was handed over by the router that Hop names
 //	refused     its machine refused the connection: not taken after all
 //	final       the router's answer; left: the client's time was over without one
 //	listed      the board will tell at Until; told: a router was told of a server
--- a/internal/referee/referee.go
+++ b/internal/referee/referee.go
@@ -95,9 +95,11 @@
 	hops     []hop
 	firstRun int64 // when a hop that ran was sent
 	runs     int
+	carried  []int // other routers that have it
 }
 
 type hop struct {
+	router int
 	n      int
 	sent   int64
 	server string
@@ -131,6 +133,13 @@
 	"taken": (*Referee).taken, "sent": (*Referee).sent, "ran": (*Referee).ran, "end": (*Referee).end,
 	"final": (*Referee).final, "left": (*Referee).left, "listed": (*Referee).list, "told": (*Referee).tell,
 	"told_purge": (*Referee).tellPurge, "router_down": (*Referee).down, "router_up": (*Referee).up,
+	// A txn that another router took runs here: all that is known of it is one.
+	"carried": func(r *Referee, e *record.Entry) {
+		if t := r.txns[id{e.Hop, e.Txn}]; t != nil {
+			r.txns[id{e.Router, e.Txn}] = t
+			t.carried = append(t.carried, e.Router)
+		}
+	},
 	"refused": func(r *Referee, e *record.Entry) { delete(r.txns, id{e.Router, e.Txn}) },
 	"wrong": func(r *Referee, e *record.Entry) {
 		r.broken(1, e, "served what no server made for it: %s", e.State)
@@ -148,7 +157,13 @@
 	}
 	// A second answer, or work that begins after the first, may come for a while.
 	for len(r.done) > 0 && r.done[0].at < r.now-10*second {
-		delete(r.txns, r.done[0].id)
+		key := r.done[0].id
+		if t := r.txns[key]; t != nil {
+			for _, other := range t.carried {
+				delete(r.txns, id{other, key.txn})
+			}
+		}
+		delete(r.txns, key)
 		r.done = r.done[1:]
 	}
 }
@@ -189,12 +204,12 @@
 			r.broken(2, e, "a keyed txn sent again %d ms after hop %d, past the window", (e.At-h.sent)/ms, h.n)
 		}
 	}
-	t.hops = append(t.hops, hop{n: e.Hop, sent: e.At, server: e.Server})
+	t.hops = append(t.hops, hop{router: e.Router, n: e.Hop, sent: e.At, server: e.Server})
 }
 
-func (t *txn) hop(n int) *hop {
+func (t *txn) hop(e *record.Entry) *hop {
 	for i := range t.hops {
-		if t.hops[i].n == n {
+		if t.hops[i].router == e.Router && t.hops[i].n == e.Hop {
 			return &t.hops[i]
 		}
 	}
@@ -207,7 +222,7 @@
 		return
 	}
 	t.runs++
-	if h := t.hop(e.Hop); h != nil {
+	if h := t.hop(e); h != nil {
 		h.ran = true
 	}
 	if t.rule.Effect == "unsafe" {
@@ -222,7 +237,7 @@
 
 func (r *Referee) end(e *record.Entry) {
 	if t := r.txns[id{e.Router, e.Txn}]; t != nil {
-		if h := t.hop(e.Hop); h != nil && h.end == "" {
+		if h := t.hop(e); h != nil && h.end == "" {
 			h.end = e.Outcome
 		}
 	}
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -74,22 +74,26 @@
 	ClearedMS     float64 `yaml:"cleared_ms"` // until servers have dropped what was purged
 	ErrorShare    float64 `yaml:"error_share"`
 	SecondCopies  bool    `yaml:"second_copies"`
+
+	Sites  int     `yaml:"sites"`   // 2 or more: routers of different sites are joined by gateways; offices belong to them in turn
+	SiteMS float64 `yaml:"site_ms"` // one way between sites
 }
 
 // Load is what clients do.
 type Load struct {
-	TxnsPerS   float64 `yaml:"txns_per_s"`
-	Videos     float64 `yaml:"videos"` // share of txns
-	Writes     float64 `yaml:"writes"`
-	Objects    int     `yaml:"objects"` // of the catalogue
-	Skew       float64 `yaml:"skew"`    // exponent of Zipf's law
-	LocalShare float64 `yaml:"local"`   // of txns that go to objects of one office only
-	DriftS     float64 `yaml:"drift_s"` // after so long one object in a hundred changes its place
-	Retries    int     `yaml:"retries"`
-	WaitMS     float64 `yaml:"wait_ms"` // before a retry; 0: at once
-	Honour     float64 `yaml:"honour"`  // share of clients that keep to X-Throttle-Ms
-	Patience   float64 `yaml:"patience"`
-	FreshS     float64 `yaml:"page_fresh_s"` // 0: a page is good until it is purged
+	TxnsPerS   float64   `yaml:"txns_per_s"`
+	Videos     float64   `yaml:"videos"` // share of txns
+	Writes     float64   `yaml:"writes"`
+	Objects    int       `yaml:"objects"` // of the catalogue
+	Skew       float64   `yaml:"skew"`    // exponent of Zipf's law
+	LocalShare float64   `yaml:"local"`   // of txns that go to objects of one office only
+	DriftS     float64   `yaml:"drift_s"` // after so long one object in a hundred changes its place
+	Retries    int       `yaml:"retries"`
+	WaitMS     float64   `yaml:"wait_ms"` // before a retry; 0: at once
+	Honour     float64   `yaml:"honour"`  // share of clients that keep to X-Throttle-Ms
+	Patience   float64   `yaml:"patience"`
+	FreshS     float64   `yaml:"page_fresh_s"` // 0: a page is good until it is purged
+	Weights    []float64 `yaml:"weights"`      // of offices, in turn; empty: all alike
 }
 
 // Trouble is one thing that goes wrong. At, For and Every are seconds.
@@ -148,7 +152,7 @@
 			TrunkMS: 7, FarMS: 30, ClientMS: 5, ParentLink: 1.3, ParentKeeps: 0.7, LedgerWork: 12, LedgerMS: 40,
 			LedgerRefuse: 0.85, LedgerStops: 2.5, LedgerStopS: 4, ColdFrom: 0.3, ColdS: 12, FallMultiple: 2, FallMS: 1000,
 			ParentColdFrom: 0.1, ParentColdS: 18, ReportMS: 300, ReportDelayMS: 120, ReportNoise: 0.06, BoardMS: 800,
-			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true},
+			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true, SiteMS: 20},
 		Load: Load{TxnsPerS: 160, Videos: 0.54, Writes: 0.034, Objects: 3000, Skew: 0.9, LocalShare: 0.15, DriftS: 10, Retries: 2,
 			WaitMS: 150, Honour: 0.5, Patience: 0.8}}
 }
@@ -199,6 +203,11 @@
 			return yamlfile.Wrong(n.key, "%g is not within %g and %g", n.v, n.least, n.most)
 		}
 	}
+	for i, v := range l.Weights {
+		if !(v >= 0.01 && v <= 100) {
+			return yamlfile.Wrong("load.weights["+strconv.Itoa(i)+"]", "%g is not within 0.01 and 100", v)
+		}
+	}
 	// Each txn takes some kilobytes while it is open, each object some hundred bytes.
 	if txns := l.TxnsPerS * s.LengthS; txns > 2e8 {
 		return yamlfile.Wrong("load.txns_per_s", "%.0f txns in all are more than a run should take (200,000,000)", txns)
@@ -280,6 +289,26 @@
 // Zone names an office, from 0.
 func Zone(office int) string { return "office-" + strconv.Itoa(office+1) }
 
+// Site is where an office belongs, from 0; -1: sites are not joined.
+func (f *Fleet) Site(office int) int {
+	if f.Sites < 2 {
+		return -1
+	}
+	return office % f.Sites
+}
+
+// Weight is an office's share of the load, of the mean.
+func (l *Load) Weight(office, offices int) float64 {
+	if len(l.Weights) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for i := range offices {
+		sum += l.Weights[i%len(l.Weights)]
+	}
+	return l.Weights[office%len(l.Weights)] * float64(offices) / sum
+}
+
 // Trunk is where an office hangs, from 0.
 func (f *Fleet) Trunk(office int) int { return office % f.Trunks }
 
--- a/internal/world/clients.go
+++ b/internal/world/clients.go
@@ -62,7 +62,7 @@
 	if w.now >= end {
 		return
 	}
-	rate := l.TxnsPerS / float64(w.set.Fleet.Offices) * w.burst
+	rate := l.TxnsPerS / float64(w.set.Fleet.Offices) * w.burst * l.Weight(office, w.set.Fleet.Offices)
 	page, video := 1-l.Videos-l.Writes, l.Videos/meanParts
 	total := page + video + l.Writes
 	w.after(int64(w.clients.wait.Rand()*1e6/(rate*total))+1, func() { w.arrive(office) })
@@ -242,3 +242,6 @@
 	}
 	w.after(wait, func() { w.try(c) })
 }
+
+// Deadline is when the client's time is over.
+func (a *Ask) Deadline() int64 { return a.deadline }
--- a/internal/world/result.go
+++ b/internal/world/result.go
@@ -19,6 +19,8 @@
 	Ends        map[string]int
 	Fallen      int // servers pushed over
 	LedgerStops int
+	Crossed     int     // txns handed over to another site
+	CrossedDone int     // of those: completed there
 	FilledKB    float64 // into offices
 	LedgerKB    float64 // from the ledger
 	AskedKB     float64 // all three past settling
--- a/internal/world/troubles.go
+++ b/internal/world/troubles.go
@@ -208,6 +208,9 @@
 	case "late_board":
 		w.late += int64(t.Strength * 1e6)
 		return func() { w.late -= int64(t.Strength * 1e6) }
+	case "site_cut":
+		w.sitesCut = true
+		return func() { w.sitesCut = false }
 	case "cut_board":
 		w.cut = true
 		return w.mend
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -141,6 +141,7 @@
 	reportLag int64
 	onceShare float64
 	burst     float64
+	sitesCut  bool
 	spells    []*spell
 	troubled  int // troubles in force
 	live      int // requests of clients that have no outcome yet
@@ -245,6 +246,13 @@
 // open then has its time.
 func (w *World) Length() int64 { return int64(w.set.LengthS*1e6) + 8*second }
 
+// After lets a driver set something of its own, such as what crosses between
+// sites, among the world's events.
+func (w *World) After(d int64, do func()) { w.after(d, do) }
+
+// SitesCut tells whether sites can't reach each other now.
+func (w *World) SitesCut() bool { return w.sitesCut }
+
 // Over tells whether clients have stopped and all requests have their outcomes.
 func (w *World) Over() bool { return w.live == 0 && w.now > int64(w.set.LengthS*1e6) }
 
