Answer txns whose time is over at another site; two and four real routers joined

Cause: the emulator on sockets found a txn without an answer: when a handed-over txn fell due, the gateway forgot the call before it carried out the answer. No test had a far side that beats and stays silent.

--- a/cmd/quilldoor/emulated_test.go
+++ b/cmd/quilldoor/emulated_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"quilldoor/internal/emulate"
+	"quilldoor/internal/record"
 	"quilldoor/internal/script"
 	"quilldoor/internal/settings"
 )
@@ -74,3 +75,54 @@
 		t.Fatalf("more than the machine has: %v", err)
 	}
 }
+
+// Two and four real routers at two sites, joined by TLS, the way between them cut
+// for long and for short, one of them killed, purges told on both sides: each txn
+// one end, no effect twice, no copy older than a purge.
+func TestEmulatedSites(t *testing.T) {
+	for name, text := range map[string]string{"two": `
+length_s: 9
+settle_s: 1
+fleet: {offices: 2, trunks: 2, caches: 2, cores: 3, sites: 2, site_ms: 5, board_ms: 200, link_share: 0.2}
+load: {txns_per_s: 70, objects: 2000, weights: [3, 0.3]}
+troubles:
+  - {kind: purge, at: 3, share: 0.4}
+  - {kind: site_cut, at: 4, for: 0.4}
+  - {kind: site_cut, at: 5.5, for: 1.8}
+`, "four": `
+length_s: 9
+settle_s: 1
+fleet: {offices: 4, trunks: 2, caches: 2, cores: 3, sites: 2, site_ms: 5, board_ms: 200, death_ms: 500, link_share: 0.2}
+load: {txns_per_s: 110, objects: 2000, weights: [2, 0.3, 2, 0.3]}
+troubles:
+  - {kind: ledger_resets, at: 2, for: 5, share: 0.1}
+  - {kind: site_cut, at: 3, for: 1.5}
+  - {kind: router_dies, at: 5, for: 0.8, share: 0.25}
+  - {kind: resets, at: 2, for: 5, share: 0.02}
+`} {
+		t.Run(name, func(t *testing.T) {
+			s, err := script.Parse(name, []byte(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+			defer stop()
+			carried := 0
+			r, err := emulate.Sockets(ctx, s, emulate.Options{Seed: 1, Record: func(e *record.Entry) {
+				if e.Kind == "carried" {
+					carried++
+				}
+			}}, emulate.Routers{Program: os.Args[0]})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.Breaks {
+				t.Error(b)
+			}
+			t.Logf("%d tries, %d carried to another site", r.Judged, carried)
+			if carried < 3 {
+				t.Errorf("%d txns carried: too few to tell anything", carried)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulate/relay.go
@@ -0,0 +1,111 @@
+package emulate
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"quilldoor/internal/operator"
+	"quilldoor/internal/script"
+)
+
+// operator writes a router's own file: its gateway, and peers behind relays that
+// are as far away as the script says and are cut with the sites.
+func (r *process) operator() error {
+	site := func(x *process) string { return script.Zone(r.set.Fleet.Site(r.world.Office(x.id))) }
+	file := func(name string) string { return filepath.Join(r.dir, name) }
+	own := operator.Config{Gateway: &operator.Gateway{Name: nameOf(r.id), Site: site(r), Listen: r.gate, Reserve: siteRatio,
+		Most: mostAcross, BeatMS: beatEvery / 1000, Cert: file(nameOf(r.id) + ".pem"), Key: file(nameOf(r.id) + ".key"), CA: file("ca.pem")}}
+	for _, x := range r.routers {
+		if site(x) == site(r) {
+			continue
+		}
+		addr, err := r.relay(x.gate)
+		if err != nil {
+			return err
+		}
+		own.Gateway.Peers = append(own.Gateway.Peers, operator.Peer{Name: nameOf(x.id), Site: site(x), Addr: addr})
+	}
+	text, err := yaml.Marshal(own)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file(nameOf(r.id)+".yaml"), text, 0o600)
+}
+
+// relay passes connections on, late by the way between sites. While they are cut
+// bytes wait, as they do with TCP.
+func (v *sockets) relay(to string) (addr string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	v.all.Go(func() {
+		<-v.ctx.Done()
+		l.Close()
+	})
+	v.all.Go(func() {
+		for {
+			a, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b, err := net.Dial("tcp", to)
+			if err != nil {
+				a.Close()
+				continue
+			}
+			v.all.Go(func() { v.pass(a, b) })
+			v.all.Go(func() { v.pass(b, a) })
+		}
+	})
+	return l.Addr().String(), nil
+}
+
+func (v *sockets) pass(from, to net.Conn) {
+	defer to.Close()
+	defer from.Close()
+	way := time.Duration(v.set.Fleet.SiteMS * float64(time.Millisecond))
+	type piece struct {
+		at time.Time
+		b  []byte
+	}
+	pieces := make(chan piece, 1024)
+	v.all.Go(func() {
+		defer to.Close()
+		defer from.Close()
+		for {
+			select {
+			case <-v.ctx.Done():
+				return
+			case p, more := <-pieces:
+				if !more {
+					return
+				}
+				time.Sleep(time.Until(p.at.Add(way)))
+				for v.cut.Load() && v.ctx.Err() == nil {
+					time.Sleep(5 * time.Millisecond)
+				}
+				if _, err := to.Write(p.b); err != nil {
+					return
+				}
+			}
+		}
+	})
+	defer close(pieces)
+	for {
+		b := make([]byte, 16<<10)
+		n, err := from.Read(b)
+		if err != nil {
+			return
+		}
+		select {
+		case pieces <- piece{time.Now(), b[:n]}:
+		case <-v.ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/emulate/server.go
+++ b/internal/emulate/server.go
@@ -146,6 +146,9 @@
 // hop hands a hop to the world.
 func (p *place) hop(c *lineConn, g *lines.Get, body []byte) {
 	x := p.asks[g.ID]
+	if x == nil {
+		x = p.carried(g.ID)
+	}
 	if x == nil && p.conf.Guests {
 		x = p.guest(g)
 	}
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -16,9 +16,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"quilldoor/internal/gateway"
 	"quilldoor/internal/record"
 	"quilldoor/internal/referee"
 	"quilldoor/internal/script"
@@ -59,7 +61,8 @@
 	ctx     context.Context
 	all     sync.WaitGroup
 	conf    Routers
-	late    int64 // how late the loop did something, at most
+	cut     atomic.Bool // sites can't reach each other
+	late    int64       // how late the loop did something, at most
 }
 
 // process is a router and what it alone talks to.
@@ -77,13 +80,15 @@
 	board   net.Listener
 	places  map[string]*place // by server
 	asks    map[string]*asked
+	gate    string // address of its gateway; "": its site is alone
 }
 
 // asked is a txn that the router has, with its hops so far.
 type asked struct {
 	*world.Ask
-	hops   int
-	cancel context.CancelFunc
+	hops    int
+	cancel  context.CancelFunc
+	carried bool // for a router of another site
 }
 
 // Sockets plays a script in real time: it listens on loopback for all that routers
@@ -119,6 +124,15 @@
 	}()
 	v.world = world.New(s, opt.Seed, v)
 	v.world.Slack = slackOnSockets
+	if f.Sites >= 2 {
+		var names []string
+		for i := range v.world.Routers() {
+			names = append(names, nameOf(i))
+		}
+		if err := gateway.MakeKeys(dir, names, 24*time.Hour); err != nil {
+			return nil, err
+		}
+	}
 	for i := range v.world.Routers() {
 		r := &process{sockets: v, id: i, places: map[string]*place{}, asks: map[string]*asked{}, changed: make(chan struct{})}
 		v.routers = append(v.routers, r)
@@ -126,6 +140,13 @@
 			return nil, err
 		}
 	}
+	if f.Sites >= 2 {
+		for _, r := range v.routers {
+			if err := r.operator(); err != nil {
+				return nil, err
+			}
+		}
+	}
 	v.start = time.Now()
 	for _, r := range v.routers {
 		if err := r.run(v.world.Known()); err != nil {
@@ -224,6 +245,7 @@
 			if wrong != "" {
 				v.Note(&record.Entry{Kind: "wrong", At: v.world.Now(), Router: a.Router, Txn: a.Txn, State: wrong})
 			}
+			v.everywhere(a.Txn)
 			if outcome == "refused" && r.asks[a.Txn] == x {
 				delete(r.asks, a.Txn)
 				v.world.Refused(a.Router, a.Txn)
@@ -235,6 +257,30 @@
 	})
 }
 
+// everywhere forgets a txn at routers that carried it for another.
+func (v *sockets) everywhere(txn string) {
+	for _, r := range v.routers {
+		if x := r.asks[txn]; x != nil && x.carried {
+			delete(r.asks, txn)
+		}
+	}
+}
+
+// carried finds a txn that another site's router has handed over.
+func (r *process) carried(txn string) *asked {
+	for _, home := range r.routers {
+		if x := home.asks[txn]; x != nil && !x.carried && r.gate != "" && home.gate != "" {
+			b := *x.Ask
+			b.Router = r.id
+			mine := &asked{Ask: &b, cancel: func() {}, carried: true}
+			r.asks[txn] = mine
+			r.Note(&record.Entry{Kind: "carried", At: r.world.Now(), Router: r.id, Txn: txn, Hop: home.id})
+			return mine
+		}
+	}
+	return nil
+}
+
 // request is a try over HTTP. No outcome: there was no answer.
 func (v *sockets) request(ctx context.Context, listen string, a *world.Ask) (outcome string, issued, stay int64, wrong string) {
 	method, body := "GET", []byte(nil)
@@ -310,6 +356,7 @@
 func (v *sockets) Leave(router int, txn string) {
 	if x := v.routers[router].asks[txn]; x != nil {
 		delete(v.routers[router].asks, txn)
+		v.everywhere(txn)
 		x.cancel()
 	}
 }
@@ -335,6 +382,7 @@
 // Note passes a line of the record on; what becomes of servers moves their
 // listeners.
 func (v *sockets) Note(e *record.Entry) {
+	v.cut.Store(v.world != nil && v.world.SitesCut())
 	switch e.Kind {
 	case "down", "started":
 		for _, r := range v.routers {
@@ -387,6 +435,13 @@
 	}
 	r.listen = l.Addr().String()
 	l.Close()
+	if r.set.Fleet.Sites >= 2 {
+		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return err
+		}
+		r.gate = l.Addr().String()
+		l.Close()
+	}
 	if r.board, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
@@ -499,6 +554,9 @@
 		return err
 	}
 	cmd := exec.Command(r.conf.Program, "serve", "--config", path)
+	if r.gate != "" {
+		cmd.Args = append(cmd.Args, "--operator", filepath.Join(r.dir, nameOf(r.id)+".yaml"))
+	}
 	for _, e := range os.Environ() {
 		if !strings.HasPrefix(e, "LB_") {
 			cmd.Env = append(cmd.Env, e)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,9 +167,6 @@
 		case crossing.Withdraw:
 			if c := g.calls[a.Txn]; c != nil {
 				todo = append(todo, func() { c.link.cancel(c.number) })
-				if g.gate.Has(a.Txn) == false {
-					g.forget(a.Txn)
-				}
 			}
 		case crossing.Answer:
 			if c := g.calls[a.Txn]; c != nil {
@@ -264,10 +261,12 @@
 func (g *Gateway) Leave(txn string) {
 	g.mu.Lock()
 	g.gate.Left(txn)
-	if c := g.calls[txn]; c != nil {
-		c.done = func(Reply) {}
-	}
+	c := g.calls[txn]
+	g.forget(txn)
 	g.act()
+	if c != nil {
+		c.link.cancel(c.number)
+	}
 }
 
 // Home tells how the module ended a txn of this site.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -131,7 +131,7 @@
 
 func text(b *buffer.Body) string { return string(bytes.Join(b.Append(nil), nil)) }
 
-func newSide(t *testing.T, name, site string, peers []Peer, keys *Keys) *side {
+func newSide(t testing.TB, name, site string, peers []Peer, keys *Keys) *side {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -149,7 +149,7 @@
 	return s
 }
 
-func until(t *testing.T, what string, ok func() bool) {
+func until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for range 5000 {
 		if ok() {
@@ -297,6 +297,28 @@
 	}
 }
 
+// A far side that beats and doesn't answer: the txn ends before its time, as one
+// that may have run, and the far side hears that it was given up.
+func TestFarSideIsTooSlow(t *testing.T) {
+	north, south, _ := pair(t)
+	gone := make(chan bool, 9)
+	south.does(func(left <-chan struct{}, q *Request) Reply {
+		<-left
+		gone <- true
+		return Reply{End: crossing.Aborted}
+	})
+	for _, effect := range []crossing.Effect{crossing.Safe, crossing.Keyed, crossing.Unsafe} {
+		began := time.Now()
+		if r := get(t, north.send(effect, "x", nil, 300*time.Millisecond)); r.End != crossing.Aborted {
+			t.Errorf("effect %d: %v", effect, r.End)
+		}
+		if took := time.Since(began); took > 320*time.Millisecond {
+			t.Errorf("effect %d: told after %v", effect, took)
+		}
+		<-gone
+	}
+}
+
 // A link that is slow ends a txn in its time; one that is cut and joined again and
 // again loses none and doubles none.
 func TestManyCuts(t *testing.T) {
