--- a/internal/front/across.go
+++ b/internal/front/across.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"sync"
 	"time"
 
 	"quilldoor/internal/core"
@@ -22,7 +23,15 @@
 		return true
 	}
 	far := make(chan gateway.Reply, 1)
+	var mu sync.Mutex
+	gone := false // nobody waits for the answer any more
 	if !f.gate.Cross(q, func(r gateway.Reply) {
+		mu.Lock()
+		defer mu.Unlock()
+		if gone {
+			r.Body.Release()
+			return
+		}
 		far <- r
 		select {
 		case arrived <- struct{}{}:
@@ -45,7 +54,15 @@
 		default:
 		}
 		if !here {
+			mu.Lock()
+			gone = true
+			mu.Unlock()
 			f.gate.Leave(a.event.Txn)
+			select {
+			case r := <-far: // it came as the client left
+				r.Body.Release()
+			default:
+			}
 			return false
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -380,12 +380,30 @@
 
 // serve takes connections of peers.
 func (g *Gateway) serve(own uint64) {
+	// Each peer keeps one, and a new one while the old is not known to be dead;
+	// the rest is for strangers, who are closed at their greeting.
+	room := make(chan struct{}, 2*len(g.config.Peers)+16)
 	for {
 		sock, err := g.l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // descriptors, most likely
+			select {
+			case <-g.ctx.Done():
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			continue
+		}
+		select {
+		case room <- struct{}{}:
+		default:
+			sock.Close()
+			continue
+		}
 		g.all.Go(func() {
+			defer func() { <-room }()
 			defer sock.Close()
 			if err := g.accept(sock, own); err != nil && g.ctx.Err() == nil {
 				g.log.WithFields(logrus.Fields{"from": sock.RemoteAddr().String(), "reason": reasonOf(err)}).WithError(err).Debug("gateway: connection from a peer ended")
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -9,18 +9,24 @@
 
 func TestFaultsAreNamedByKeyAndLine(t *testing.T) {
 	for text, want := range map[string]string{
-		"disk:\n  path: /x\n  size_mb: 1\n":                           "f:3: disk.size_mb: 1 is not within",
-		"\ndisk:\n  size_mb: 100\n":                                   "f:3: disk.path: missing",
-		"disk:\n  path: x\n  size_mb: 100\n":                          "f:2: disk.path: not an absolute",
-		"disk:\n  path: /x\n  sise_mb: 100\n":                         "f:3: sise_mb: unknown field",
-		"disk:\n  path: /x\n  size_mb: soon\n":                        "f:3: soon: ",
-		"disk:\n  path: /x\n  size_mb: 100\n  rules: [a, b, a]\n":     "f:4: disk.rules[2]",
-		"disk:\n  path: /x\n  size_mb: 16000000\n":                    "disk.memory_mb: 16 MB are too few",
-		"disk:\n  path: /x\n  path: /y\n  size_mb: 100\n":             "f:3: ",
-		"disk: [1, 2]\n":                                              "f:1: ",
-		"disk: {path: /x, size_mb: 16}\n---\nmetrics: {file: /x/y}\n": "f:3: file: a second document",
-		"metrics:\n  every_s: 5\n":                                    "metrics.file: not an absolute",
-		"metrics:\n  file: /m\n  every_s: 5000\n":                     "f:3: metrics.every_s",
+		"disk:\n  path: /x\n  size_mb: 1\n":                                      "f:3: disk.size_mb: 1 is not within",
+		"\ndisk:\n  size_mb: 100\n":                                              "f:3: disk.path: missing",
+		"disk:\n  path: x\n  size_mb: 100\n":                                     "f:2: disk.path: not an absolute",
+		"disk:\n  path: /x\n  sise_mb: 100\n":                                    "f:3: sise_mb: unknown field",
+		"disk:\n  path: /x\n  size_mb: soon\n":                                   "f:3: soon: ",
+		"disk:\n  path: /x\n  size_mb: 100\n  rules: [a, b, a]\n":                "f:4: disk.rules[2]",
+		"disk:\n  path: /x\n  size_mb: 16000000\n":                               "disk.memory_mb: 16 MB are too few",
+		"disk:\n  path: /x\n  path: /y\n  size_mb: 100\n":                        "f:3: ",
+		"disk: [1, 2]\n":                                                         "f:1: ",
+		"disk: {path: /x, size_mb: 16}\n---\nmetrics: {file: /x/y}\n":            "f:3: file: a second document",
+		"metrics:\n  every_s: 5\n":                                               "metrics.file: not an absolute",
+		"metrics:\n  file: /m\n  every_s: 5000\n":                                "f:3: metrics.every_s",
+		"gateway:\n  name: n\n":                                                  "gateway.",
+		gate("peers: []"):                                                        "f:8: gateway.peers: 0 of them",
+		gate("peers: [{name: n, site: s, addr: \"127.0.0.1:1\"}]"):               "f:8: gateway.peers[0].name",
+		gate("peers: [{name: m, site: north, addr: \"127.0.0.1:1\"}]"):           "f:8: gateway.peers[0].site",
+		gate("peers: [{name: m, site: s, addr: there}]"):                         "f:8: gateway.peers[0].addr",
+		gate("peers: [{name: m, site: s, addr: \"127.0.0.1:1\"}]\n  reserve: 1"): "f:9: gateway.reserve",
 		"\tdisk: 1\n": "f:1: ",
 	} {
 		if _, err := Parse("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
@@ -31,6 +37,11 @@
 	}
 }
 
+// gate is a gateway with all that must be there but its peers.
+func gate(more string) string {
+	return "gateway:\n  name: n\n  site: north\n  listen: 127.0.0.1:1\n  cert: c\n  key: k\n  ca: a\n  " + more + "\n"
+}
+
 func TestAbsentAndEmptyMeanOff(t *testing.T) {
 	t.Chdir(t.TempDir())
 	none := func(string) string { return "" }
