--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -465,6 +465,24 @@
 	until(t, "the end of what they left", func() bool { return south.Status().In == 0 })
 }
 
+// Clocks of two sides may be hours apart: what is told of a frame is only how much
+// longer than the quickest it was under way.
+func TestClocksApart(t *testing.T) {
+	for _, apart := range []int64{0, 3600_000_000, -3600_000_000} {
+		k := newLink(nil, nil, "s")
+		at := int64(10_000_000_000)
+		for i := range int64(20) {
+			k.heard(at+i*1000+20_000+i%3*5_000, &frames.Beat{At: at + i*1000 + apart})
+		}
+		if d := k.delay(at+50_000, at+30_000+apart); d != 0 {
+			t.Errorf("apart by %d: a frame of the quickest is %d us late", apart, d)
+		}
+		if d := k.delay(at+750_000, at+30_000+apart); d != 700_000 {
+			t.Errorf("apart by %d: a frame that lay 700 ms is %d us late", apart, d)
+		}
+	}
+}
+
 // Certificates: good ones, and each kind of bad one told by its reason.
 func TestKeys(t *testing.T) {
 	dir, other, old := t.TempDir(), t.TempDir(), t.TempDir()
