Let routers under test listen where no connection takes their port

Cause: in a fresh clone a router ended at its start, 'address already in use': its port, free when it was picked, had become the local port of some connection on 127.0.0.1 before the process listened. Change: routers of tests and of emulated fleets listen at loopback addresses of their own.

--- a/cmd/quilldoor/disk_test.go
+++ b/cmd/quilldoor/disk_test.go
@@ -204,7 +204,7 @@
 	if err := os.Mkdir(folder, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := net.Listen("tcp", "127.77.0.2:0") // where no connection takes the port while the router is dead
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/quilldoor/serve_test.go
+++ b/cmd/quilldoor/serve_test.go
@@ -105,7 +105,7 @@
 // startWith starts one with an operator's file, and its configuration edited.
 func startWith(t *testing.T, cache, origin, own string, edit *strings.Replacer) *running {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := net.Listen("tcp", "127.77.0.3:0") // where no connection takes the port before the router does
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -425,7 +425,10 @@
 
 // prepare finds an address, starts the board and the servers' listeners.
 func (r *process) prepare() error {
-	want := "127.0.0.1:0"
+	// An address of its own: ports of 127.0.0.1 that are free now may be taken by
+	// some connection before the process listens, or while it is dead.
+	own := fmt.Sprintf("127.77.%d.%d:0", 1+r.id/200, 1+r.id%200)
+	want := own
 	if r.conf.Listen != "" && r.id == 0 {
 		want = r.conf.Listen
 	}
@@ -436,7 +439,7 @@
 	r.listen = l.Addr().String()
 	l.Close()
 	if r.set.Fleet.Sites >= 2 {
-		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		if l, err = net.Listen("tcp", own); err != nil {
 			return err
 		}
 		r.gate = l.Addr().String()
