Let a peer's txn hold its place until its answer is sent; bound the time it asks for

Cause: read once more, a peer that asked and made no room for answers was given place after place, each with a body held for as long as it said itself; and a test picked from a map, another each run. Change: a txn of a peer counts until its last byte is sent, its time is the longest rule's at most; the pick is drawn from the seed; parameters that nothing used are gone.

--- a/cmd/quilldoor/join.go
+++ b/cmd/quilldoor/join.go
@@ -96,7 +96,7 @@
 	}
 	set := c.Settings.Logic()
 	r.host = &host{router: r, purges: purgeBook{done: set.Family.PurgeDone + c.Limits.LongestTxn.Microseconds()}}
-	config := gateway.Config{Keys: keys, Upload: c.Limits.Upload, Answer: c.Limits.Answer, Seed: c.Seed,
+	config := gateway.Config{Keys: keys, Upload: c.Limits.Upload, Answer: c.Limits.Answer, Longest: c.Limits.LongestTxn, Seed: c.Seed,
 		Settings: crossing.Settings{Name: o.Name, Site: o.Site, Most: o.Most, Reserve: o.Reserve, Beat: int64(o.BeatMS) * 1000}}
 	for _, p := range o.Peers {
 		config.Peers = append(config.Peers, gateway.Peer(p))
--- a/internal/crossing/crossing_test.go
+++ b/internal/crossing/crossing_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -473,8 +475,8 @@
 			now += r.Int64N(100 * ms)
 			name := []string{"a", "b"}[r.IntN(2)]
 			var id string
-			for id = range open {
-				break
+			if ids := slices.Sorted(maps.Keys(open)); len(ids) > 0 {
+				id = ids[r.IntN(len(ids))]
 			}
 			switch r.IntN(9) {
 			case 0:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	Keys     *Keys // nil: connections without TLS, for tests
 	// Upload and Answer bound the bodies of writes and of answers, in bytes.
 	Upload, Answer int
+	Longest        time.Duration // a peer's txn has at the most
 	Seed           uint64
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -143,7 +143,7 @@
 	s.carry = func(_ <-chan struct{}, q *Request) Reply {
 		return Reply{End: crossing.Completed, Tag: "tag", Issued: 1000, Body: s.body("answer to " + q.Event.Object)}
 	}
-	s.Gateway = Start(Config{Peers: peers, Keys: keys, Upload: 48_000, Answer: 240_000, Seed: 1,
+	s.Gateway = Start(Config{Peers: peers, Keys: keys, Upload: 48_000, Answer: 240_000, Longest: 5 * time.Second, Seed: 1,
 		Settings: crossing.Settings{Name: name, Site: site, Most: 100, Reserve: 0.2, Beat: 40_000}}, l, s, s.pool, log.WithField("side", name))
 	t.Cleanup(s.Close)
 	return s
@@ -548,3 +548,32 @@
 	}
 	r.Body.Release()
 }
+
+// A peer that asks on and on and makes no room for the answers holds the places
+// that it has, and gets no more.
+func TestPeerThatTakesNothing(t *testing.T) {
+	_, south, _ := pair(t)
+	south.does(func(<-chan struct{}, *Request) Reply {
+		return Reply{End: crossing.Completed, Body: south.body(strings.Repeat("x", 200_000))}
+	})
+	c, err := net.Dial("tcp", south.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	b, _ := frames.Append(nil, frames.KindHello, 0, &frames.Hello{Version: frames.Version, Name: "n", Site: "north", Incarnation: 9})
+	c.Write(b)
+	for i := range uint32(40) {
+		b, _ = frames.Append(nil, frames.KindAsk, i+1, &frames.Ask{At: 1, Budget: 1 << 60, Txn: fmt.Sprint("t", i), Rule: "r", Object: "o", Route: []string{"n"}})
+		c.Write(b)
+		time.Sleep(2 * time.Millisecond)
+	}
+	south.mu.Lock()
+	n := len(south.ran)
+	south.mu.Unlock()
+	if n < 1 || n > 10 || south.Status().In != n {
+		t.Fatalf("%d txns run for it, %d hold a place", n, south.Status().In)
+	}
+	c.Close()
+	until(t, "the end of them", func() bool { return south.Status().In == 0 })
+}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -392,6 +392,7 @@
 	if a.Body < 0 || int(a.Body) > g.config.Upload || a.Budget <= 0 || len(a.Purges) > mostPurges {
 		return fmt.Errorf("%w: a body of %d bytes, %d us left, %d purges", frames.ErrBroken, a.Body, a.Budget, len(a.Purges))
 	}
+	a.Budget = min(a.Budget, g.config.Longest.Microseconds())
 	s.at = g.now()
 	delay := k.delay(s.at, a.At)
 	g.mu.Lock()
@@ -510,18 +511,12 @@
 		r = g.host.Carry(s.left, q)
 	}
 	defer r.Body.Release()
-	k.end(number, s, r.End == crossing.Completed)
+	// It holds its place until the last byte: a peer that makes no room for answers
+	// is given no more of them.
+	defer k.end(number, s, r.End == crossing.Completed)
 	k.finish(number, &frames.Answer{Outcome: uint8(r.End), Proof: r.Proof, Same: r.Same, Stay: r.Stay, Tag: r.Tag, Issued: r.Issued,
 		Body: int32(r.Body.Len())})
-	if r.Body.Len() > 0 {
-		g.mu.Lock()
-		k.served[number] = s // its window goes on growing
-		g.mu.Unlock()
-		k.send(number, s, r.Body)
-		g.mu.Lock()
-		delete(k.served, number)
-		g.mu.Unlock()
-	}
+	k.send(number, s, r.Body)
 }
 
 // send puts a body on the link, no faster than the peer makes room for it.
--- a/internal/world/servers.go
+++ b/internal/world/servers.go
@@ -81,7 +81,7 @@
 	return e
 }
 
-func (w *World) newCache(office, _ int, uid string) *server {
+func (w *World) newCache(office int, uid string) *server {
 	f := &w.set.Fleet
 	s := &server{w: w, uid: uid, kind: cache, office: office, trunk: f.Trunk(office), weight: float64(f.Cores), up: true,
 		listed: "active", slow: 1, fills: map[int64]*fill{}}
@@ -503,7 +503,7 @@
 			w.after(way, func() { x.fail(noteUpDown) })
 			return
 		}
-		from.supply(&ask, x.dropped, func(issued int64, note int) {
+		from.supply(&ask, func(issued int64, note int) {
 			if note >= noteUpBusy {
 				w.after(way, func() { x.fail(note) })
 				return
@@ -596,7 +596,7 @@
 
 // supply is what a source does for a fill: a parent or another cache gives what
 // it holds, or fetches it; the ledger makes it.
-func (s *server) supply(h *Hop, _ bool, done func(issued int64, note int)) {
+func (s *server) supply(h *Hop, done func(issued int64, note int)) {
 	w := s.w
 	switch s.kind {
 	case ledger:
--- a/internal/world/troubles.go
+++ b/internal/world/troubles.go
@@ -300,7 +300,7 @@
 	if place < 0 {
 		return
 	}
-	next := w.newCache(s.office, place, fmt.Sprintf("%s.%d", s.uid, w.seq))
+	next := w.newCache(s.office, fmt.Sprintf("%s.%d", s.uid, w.seq))
 	next.up = false
 	w.caches[s.office][place] = next
 	next.start()
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -185,7 +185,7 @@
 		w.links = append(w.links, w.link(f.OfficeLink()))
 		var list []*server
 		for c := range f.Caches {
-			list = append(list, w.newCache(o, c, fmt.Sprintf("c%d-%d", o+1, c+1)))
+			list = append(list, w.newCache(o, fmt.Sprintf("c%d-%d", o+1, c+1)))
 		}
 		w.caches = append(w.caches, list)
 	}
