--- /dev/null
+++ b/cmd/quilldoor-lab/members.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"quilldoor/internal/roster"
+)
+
+// membersCommand plays the routers' knowledge of each other on a virtual clock,
+// beside the baseline.
+func membersCommand() *cobra.Command {
+	var sizes []int
+	var seeds, kills int
+	var hold time.Duration
+	var loss float64
+	var with string
+	c := &cobra.Command{Use: "members-trial", Short: "How soon and how surely routers know who is there; simulated", Args: cobra.NoArgs}
+	f := c.Flags()
+	f.IntSliceVar(&sizes, "routers", []int{4, 24, 60, 222}, "sizes to play")
+	f.IntVar(&seeds, "seeds", 3, "seeds of each")
+	f.IntVar(&kills, "kills", 20, "routers killed one after another, for each seed")
+	f.DurationVar(&hold, "hold", time.Minute, "how long with stops and starved routers")
+	f.Float64Var(&loss, "loss", 0.05, "share of words lost while it holds")
+	f.StringVar(&with, "with", "swim,beats", "knowledge: swim, beats")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+		defer w.Flush()
+		fmt.Fprintln(w, "routers\twith\tdeath known ms: p50\tp99\tmissed\thalf dead ms\tand back\tcut known ms\thealed ms\tcalm B/s\tafter heal\t"+
+			"held: suspected\tcalled dead\tsent B/s\theard\t")
+		for _, n := range sizes {
+			for _, beats := range []bool{false, true} {
+				name := map[bool]string{false: "swim", true: "beats"}[beats]
+				if with != name && with != "swim,beats" {
+					continue
+				}
+				if err := c.Context().Err(); err != nil {
+					return err
+				}
+				row(w, n, name, beats, seeds, kills, hold, loss)
+				w.Flush()
+			}
+		}
+		return nil
+	}
+	return c
+}
+
+func row(w *tabwriter.Writer, n int, name string, beats bool, seeds, kills int, hold time.Duration, loss float64) {
+	var times, half, back *roster.Times
+	var heal roster.Heal
+	var held roster.Hour
+	for seed := range uint64(seeds) {
+		p := roster.Plan{Routers: n, Seed: seed + 1, Beats: beats}
+		t := p.Detection(kills)
+		d, b := p.Half()
+		c := p.Cut(60 * time.Second.Microseconds())
+		p.Loss = loss
+		o := p.Hold(hold.Microseconds())
+		if seed == 0 {
+			times, half, back, heal, held = t, d, b, c, o
+			continue
+		}
+		for _, x := range [][2]*roster.Times{{times, t}, {half, d}, {back, b}} {
+			x[0].Merge(x[1].Histogram)
+			x[0].Missed += x[1].Missed
+		}
+		heal.Known, heal.Agreed = max(heal.Known, c.Known), max(heal.Agreed, c.Agreed)
+		heal.Calm, heal.During = max(heal.Calm, c.Calm), max(heal.During, c.During)
+		held.Suspicions += o.Suspicions
+		held.Deaths += o.Deaths
+	}
+	fmt.Fprintf(w, "%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%d\t%d\t%.0f\t%.0f\t\n", n, name, times.ValueAtQuantile(50)/1000,
+		times.ValueAtQuantile(99)/1000, times.Missed, half.Max()/1000, back.Max()/1000, heal.Known/1000, heal.Agreed/1000, heal.Calm,
+		heal.During, held.Suspicions, held.Deaths, held.SentPerS, held.HeardPerS)
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,281 @@
+// Package roster plays a fleet of routers that know each other on a virtual clock:
+// their knowledge (package members, or a baseline) on ways that lose, delay and
+// are cut, with routers that are killed, started, stopped and starved. It is for
+// tests, experiments and the emulator; figures from it are simulated.
+package roster
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quilldoor/internal/members"
+	"quilldoor/internal/ways"
+)
+
+// Speaker is a router's knowledge of the others.
+type Speaker interface {
+	Run(now int64) (next int64, out []members.Out, news []members.Change)
+	Heard(now int64, via netip.AddrPort, w *members.Word) []members.Out
+	State(name string) members.State
+}
+
+// overhead of a datagram: the form's version and proof; not those of IP and UDP.
+const overhead = 17
+
+// Host is one router's process, or its machine while it is dead.
+type Host struct {
+	ID      int
+	Name    string
+	Speaker Speaker // nil: dead
+	stopped bool
+	starved float64 // share of its time that others take
+	held    []func()
+	life    int
+	next    int64
+
+	SentBytes, HeardBytes, Sent int64
+}
+
+// Fleet is the routers and their ways.
+type Fleet struct {
+	Net   *ways.Net
+	Hosts []*Host
+	Now   int64
+	News  func(h *Host, c members.Change) // of views, as they change
+	Spoil func(h *Host, w *members.Word)  // before it is sent; for tests
+	Make  func(h *Host, now int64) Speaker
+
+	byName map[string]*Host
+	events eventHeap
+	seq    int64
+	dice   *rand.Rand
+}
+
+// New makes a fleet of n dead routers. make starts one's knowledge.
+func New(n int, seed uint64, net *ways.Net, make func(h *Host, now int64) Speaker) *Fleet {
+	f := &Fleet{Net: net, Make: make, byName: map[string]*Host{}, dice: rand.New(rand.NewPCG(seed, 1))}
+	for i := range n {
+		h := &Host{ID: i, Name: Name(i)}
+		f.Hosts = append(f.Hosts, h)
+		f.byName[h.Name] = h
+	}
+	return f
+}
+
+// Name of a router, from 0.
+func Name(i int) string { return fmt.Sprint("n", i+1) }
+
+// Addr of a router, as the others hold it.
+func Addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, byte(1 + i/200), byte(1 + i%200)}), 7700)
+}
+
+// Seeds are the first routers, as a file would name them.
+func Seeds(n int) (list []members.Seed) {
+	for i := range n {
+		list = append(list, members.Seed{Name: Name(i), Addr: Addr(i)})
+	}
+	return list
+}
+
+type event struct {
+	at, seq int64
+	do      func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return x
+}
+
+// At sets something for a time.
+func (f *Fleet) At(at int64, do func()) {
+	f.seq++
+	heap.Push(&f.events, event{max(at, f.Now), f.seq, do})
+}
+
+// Next is when something happens next.
+func (f *Fleet) Next() int64 {
+	if len(f.events) == 0 {
+		return 1 << 62
+	}
+	return f.events[0].at
+}
+
+// Until plays up to a time.
+func (f *Fleet) Until(at int64) {
+	for len(f.events) > 0 && f.events[0].at <= at {
+		e := heap.Pop(&f.events).(event)
+		f.Now = max(f.Now, e.at)
+		e.do()
+	}
+	f.Now = max(f.Now, at)
+}
+
+// Start starts a dead router from nothing.
+func (f *Fleet) Start(i int) {
+	h := f.Hosts[i]
+	if h.Speaker != nil {
+		return
+	}
+	h.life++
+	h.stopped, h.held = false, nil
+	h.Speaker = f.Make(h, f.Now)
+	f.run(h, h.life)
+}
+
+// Kill ends a router outright.
+func (f *Fleet) Kill(i int) {
+	h := f.Hosts[i]
+	h.Speaker, h.held, h.stopped = nil, nil, false
+	h.life++
+}
+
+// Stop lets a router stand still; what comes waits for it.
+func (f *Fleet) Stop(i int) { f.Hosts[i].stopped = true }
+
+// Wake lets it go on.
+func (f *Fleet) Wake(i int) {
+	h := f.Hosts[i]
+	if !h.stopped {
+		return
+	}
+	h.stopped = false
+	held := h.held
+	h.held = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+// Starve takes a share of a router's time away; 0: it has all again.
+func (f *Fleet) Starve(i int, share float64) { f.Hosts[i].starved = share }
+
+// when a router that others crowd out gets round to what came now.
+func (f *Fleet) late(h *Host) int64 {
+	const slice = 60_000 // that others may have at once
+	if h.starved == 0 || f.dice.Float64() >= h.starved {
+		return 0
+	}
+	return f.dice.Int64N(int64(slice * (1 + 4*h.starved)))
+}
+
+// act does something at a router when it runs, unless it has another life by then.
+func (f *Fleet) act(h *Host, do func()) {
+	const mostHeld = 4096 // a socket's buffer
+	life := h.life
+	guarded := func() {
+		if h.life == life && h.Speaker != nil {
+			do()
+		}
+	}
+	if h.stopped {
+		if len(h.held) < mostHeld {
+			h.held = append(h.held, guarded)
+		}
+		return
+	}
+	if late := f.late(h); late > 0 {
+		f.At(f.Now+late, func() { f.hold(h, guarded) })
+		return
+	}
+	guarded()
+}
+
+func (f *Fleet) hold(h *Host, do func()) {
+	if h.stopped {
+		h.held = append(h.held, do)
+		return
+	}
+	do()
+}
+
+func (f *Fleet) run(h *Host, life int) {
+	if h.life != life || h.Speaker == nil {
+		return
+	}
+	f.act(h, func() {
+		next, out, news := h.Speaker.Run(f.Now)
+		f.news(h, news)
+		f.carry(h, out)
+		f.At(next, func() { f.run(h, life) })
+	})
+}
+
+func (f *Fleet) news(h *Host, news []members.Change) {
+	if f.News != nil {
+		for _, c := range news {
+			f.News(h, c)
+		}
+	}
+}
+
+// Carry sends words by the ways.
+func (f *Fleet) carry(h *Host, out []members.Out) {
+	for _, o := range out {
+		if f.Spoil != nil {
+			f.Spoil(h, o.Word)
+		}
+		b, err := cbor.Marshal(o.Word)
+		if err != nil {
+			panic(err) // words are made of what can be written
+		}
+		size := len(b) + overhead
+		h.SentBytes += int64(size)
+		h.Sent++
+		to := f.byName[o.To]
+		if to == nil {
+			continue
+		}
+		for _, at := range f.Net.Carry(f.Now, h.ID, to.ID, size) {
+			f.At(at, func() {
+				if to.Speaker == nil {
+					return
+				}
+				to.HeardBytes += int64(size)
+				f.act(to, func() {
+					var w members.Word // each has its own, as on a wire
+					if err := cbor.Unmarshal(b, &w); err != nil {
+						panic(err)
+					}
+					f.carry(to, to.Speaker.Heard(f.Now, netip.AddrPort{}, &w))
+				})
+			})
+		}
+	}
+}
+
+// Send hands words to the ways that a router says outside Run, such as when it
+// leaves.
+func (f *Fleet) Send(i int, out []members.Out) { f.carry(f.Hosts[i], out) }
+
+// Agree tells whether all live routers hold just the live ones alive, and names
+// one who doesn't.
+func (f *Fleet) Agree() (bool, string) {
+	for _, h := range f.Hosts {
+		if h.Speaker == nil {
+			continue
+		}
+		for _, x := range f.Hosts {
+			if s := h.Speaker.State(x.Name); (s == members.Alive) != (x.Speaker != nil) {
+				return false, fmt.Sprintf("%s holds %s %v", h.Name, x.Name, s)
+			}
+		}
+	}
+	return true, ""
+}
--- /dev/null
+++ b/internal/ways/ways.go
@@ -0,0 +1,117 @@
+// Package ways models what lies between routers, for tests and rehearsals: between
+// every ordered pair a way of its own that delays, jitters, loses, doubles,
+// reorders, is slow or cut. It does no I/O: drivers ask it when a datagram that
+// is sent now arrives, on a virtual clock or on loopback.
+package ways
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// Trouble is on the ways from some routers to some, until it is taken away.
+type Trouble struct {
+	From, To []int // nil: all
+	Both     bool  // the other direction as well
+	Cut      bool  // silently
+	Refused  bool  // cut, and the sender is told that nobody listens
+	Delay    int64 // microseconds, one way
+	Jitter   int64 // up to so much more, by chance
+	Loss     float64
+	Double   float64
+	Reorder  float64 // share that is held back by some of the others
+	PerS     float64 // bytes a second; what waits for more than queueMost is lost
+}
+
+// reorderBy is how long a datagram that is overtaken is held back, queueMost how
+// long a slow way's queue is.
+const reorderBy, queueMost = 30_000, 2_000_000
+
+// Net is the ways of a fleet.
+type Net struct {
+	Delay    int64 // of every way
+	Jitter   int64
+	troubles []*Trouble
+	free     map[[2]int]int64 // when a slow way is free again
+	dice     *rand.Rand
+
+	Sent, Lost int64
+}
+
+// New makes ways without trouble.
+func New(delay, jitter int64, dice *rand.Rand) *Net {
+	return &Net{Delay: delay, Jitter: jitter, free: map[[2]int]int64{}, dice: dice}
+}
+
+// Add puts a trouble on; what it returns takes it away.
+func (n *Net) Add(t *Trouble) (over func()) {
+	n.troubles = append(n.troubles, t)
+	return func() { n.troubles = slices.DeleteFunc(n.troubles, func(o *Trouble) bool { return o == t }) }
+}
+
+func (t *Trouble) on(from, to int) bool {
+	in := func(l []int, i int) bool { return l == nil || slices.Contains(l, i) }
+	return in(t.From, from) && in(t.To, to) || t.Both && in(t.From, to) && in(t.To, from)
+}
+
+// Refused tells whether a sender is told that nobody listens.
+func (n *Net) Refused(from, to int) bool {
+	return slices.ContainsFunc(n.troubles, func(t *Trouble) bool { return t.Refused && t.on(from, to) })
+}
+
+// Carry tells when what is sent now arrives: not at all, once or twice.
+func (n *Net) Carry(now int64, from, to, size int) (at []int64) {
+	n.Sent++
+	delay, copies := n.Delay, 1
+	if n.Jitter > 0 {
+		delay += n.dice.Int64N(n.Jitter)
+	}
+	for _, t := range n.troubles {
+		if !t.on(from, to) {
+			continue
+		}
+		if t.Cut || t.Refused || t.Loss > 0 && n.dice.Float64() < t.Loss {
+			n.Lost++
+			return nil
+		}
+		delay += t.Delay
+		if t.Jitter > 0 {
+			delay += n.dice.Int64N(t.Jitter)
+		}
+		if t.Reorder > 0 && n.dice.Float64() < t.Reorder {
+			delay += reorderBy
+		}
+		if t.Double > 0 && n.dice.Float64() < t.Double {
+			copies = 2
+		}
+		if t.PerS > 0 {
+			key := [2]int{from, to}
+			n.free[key] = max(n.free[key], now) + int64(float64(size)/t.PerS*1e6)
+			if n.free[key]-now > queueMost {
+				n.free[key] = now + queueMost
+				n.Lost++
+				return nil
+			}
+			delay += n.free[key] - now
+		}
+	}
+	for i := range copies {
+		at = append(at, now+delay+int64(i)*1000)
+	}
+	return at
+}
+
+// Camps cuts routers into parts that don't hear each other.
+func (n *Net) Camps(camps ...[]int) (over func()) {
+	var ends []func()
+	for i, a := range camps {
+		for _, b := range camps[i+1:] {
+			ends = append(ends, n.Add(&Trouble{From: a, To: b, Both: true, Cut: true}))
+		}
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
