Let routers know each other over UDP; rehearse stops, cuts and poor ways among processes

Need: decisions alone convince nobody; the ground was missing on which processes fail together. Scripts stop, starve and cut routers, each ordered pair by a way of its own, on sockets and on the virtual clock; the referee tells apart what fell due while a router stood still.

--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -59,7 +59,7 @@
 			}},
 		&cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Println("quilldoor", version()) }},
-		diskCommand(), gatewayCommand(&f), keysCommand())
+		diskCommand(), gatewayCommand(&f), membersCommand(&f), keysCommand())
 	return root
 }
 
@@ -115,6 +115,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if own.Members != nil && !c.Settings.Limits.PeerMessages {
+		return nil, errPeers
+	}
 	return &setup{c, known, own}, nil
 }
 
--- /dev/null
+++ b/cmd/quilldoor/members.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"quilldoor/internal/memberlink"
+	"quilldoor/internal/members"
+	"quilldoor/internal/operator"
+)
+
+// errPeers keeps members off where the platform does not permit it.
+var errPeers = errors.New("members: the settings forbid talk among routers (settings.Limits.PeerMessages)")
+
+// openMembers starts to look for the other routers as the operator's file has it.
+func (r *router) openMembers(c *setup, o *operator.Members) error {
+	key, err := memberlink.ReadKey(o.KeyFile)
+	if err != nil {
+		return err
+	}
+	set := members.Settings{Name: o.Name, Place: o.Place, Rate: o.Rate}
+	if set.Place == "" {
+		set.Place = c.Settings.Zone
+	}
+	for _, p := range o.Peers {
+		set.Seeds = append(set.Seeds, members.Seed{Name: p.Name, Addr: netip.MustParseAddrPort(p.Addr)})
+	}
+	r.members, err = memberlink.Start(set, key, netip.MustParseAddrPort(o.Listen), r.log)
+	return err
+}
+
+func membersCommand(f *flags) *cobra.Command {
+	var matrix, asJSON bool
+	c := &cobra.Command{Use: "members", Short: "Tell which routers are there, how sure and how old that is", Args: cobra.NoArgs,
+		Long: "Asks the router of the operator's file, by its members.listen address and key. --matrix asks all that it\n" +
+			"knows, and shows who sees whom and where they disagree. Exit code 1: no answer."}
+	c.Flags().BoolVar(&matrix, "matrix", false, "ask all, show who sees whom")
+	c.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	c.RunE = func(*cobra.Command, []string) error {
+		own, err := operator.Load(f.operator, os.Getenv)
+		if err != nil {
+			return err
+		}
+		if own.Members == nil {
+			return errors.New("members: not in the operator's file")
+		}
+		key, err := memberlink.ReadKey(own.Members.KeyFile)
+		if err != nil {
+			return err
+		}
+		v, err := memberlink.Ask(key, own.Members.Name, netip.MustParseAddrPort(own.Members.Listen))
+		if err != nil {
+			return err
+		}
+		var m *memberlink.Matrix
+		if matrix {
+			m = memberlink.AskAll(key, v)
+		}
+		if asJSON {
+			enc := json.NewEncoder(os.Stdout)
+			enc.SetIndent("", " ")
+			if m != nil {
+				return enc.Encode(m)
+			}
+			return enc.Encode(v)
+		}
+		if m != nil {
+			printMatrix(m)
+		} else {
+			printView(v)
+		}
+		return nil
+	}
+	return c
+}
+
+func printView(v *members.View) {
+	s := v.Standing
+	part := "the greater part"
+	if !s.Majority {
+		part = "CUT OFF, OR THE SMALLER PART"
+	}
+	fmt.Printf("%s of %s (life %d, incarnation %d) is %v: %d of %d routers reachable, %s for %s; %d of its last %d questions answered\n",
+		v.Self.Name, v.Self.Place, v.Self.ID.Life, v.Self.Inc, s.State, s.Reachable, s.Known, part, ago(s.Age), s.Answered, s.Asked)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	fmt.Fprintln(w, "router\toffice\tstate\tfor\tsure by\tlast heard\twitnesses\tanswers in\tlife\taddress")
+	for _, x := range v.Seen {
+		heard := "never"
+		if x.Heard >= 0 {
+			heard = ago(x.Heard) + " ago"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%v\t%s\t%d\t%.1f ms\t%d\t%v\n", x.Name, x.Place, x.State, ago(x.Since), x.Reach, heard, x.Witnesses,
+			float64(x.RTT)/1000, x.ID.Life, x.Addr)
+	}
+}
+
+// ago words microseconds.
+func ago(us int64) string {
+	if us < 10_000_000 {
+		return fmt.Sprintf("%.1f s", float64(us)/1e6)
+	}
+	return fmt.Sprintf("%d s", us/1_000_000)
+}
+
+// printMatrix draws a row for each router that answered: what it holds of each.
+func printMatrix(m *memberlink.Matrix) {
+	letters := map[members.State]string{members.Unknown: " ", members.Joining: "j", members.Alive: "A", members.Suspected: "s", members.Dead: "D",
+		members.Leaving: "l", members.Left: "L", members.Doubled: "2"}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(w, "\t"+strings.Join(m.Names, "\t"))
+	for _, by := range m.Names {
+		line := by
+		for _, of := range m.Names {
+			s, ok := m.State(of, by)
+			switch mark := letters[s.State]; {
+			case !ok:
+				line += "\t?"
+			case s.State == members.Alive && s.Reach == members.Relayed:
+				line += "\ta"
+			default:
+				line += "\t" + mark
+			}
+		}
+		fmt.Fprintln(w, line)
+	}
+	w.Flush()
+	fmt.Println("a row is what a router holds of each: A alive, a alive through others only, s suspected, D dead, l leaving, L left,\n" +
+		"j joining, 2 its name is doubled, ? it did not answer")
+	if d := m.Differ(); len(d) > 0 {
+		fmt.Println("they disagree on", strings.Join(d, ", "))
+	} else {
+		fmt.Println("all that answered agree")
+	}
+}
--- a/cmd/quilldoor/publish.go
+++ b/cmd/quilldoor/publish.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"quilldoor/internal/members"
 	"quilldoor/internal/operator"
 	"quilldoor/internal/tier"
 )
@@ -60,6 +61,9 @@
 	gauge(float64(servers), "servers_listed")
 	gauge(float64(r.front.Clients()), "clients")
 	gauge(float64(r.up.Count()), "upstream_connections")
+	if r.members != nil {
+		r.collectMembers(gauge, count)
+	}
 	if r.shelf == nil {
 		return
 	}
@@ -88,3 +92,31 @@
 	gauge(float64(s.ReadMedian)/1e6, "disk_read_seconds{quantile=%q}", "0.5")
 	gauge(float64(s.Read99)/1e6, "disk_read_seconds{quantile=%q}", "0.99")
 }
+
+// collectMembers takes over what is known of the other routers.
+func (r *router) collectMembers(gauge func(float64, string, ...any), count func(int64, string, ...any)) {
+	v, d := r.members.View(), &r.members.Dropped
+	states := map[members.State]int{}
+	for _, s := range v.Seen {
+		states[s.State]++
+	}
+	for _, s := range []members.State{members.Alive, members.Suspected, members.Dead, members.Leaving, members.Left} {
+		gauge(float64(states[s]), "members{state=%q}", s)
+	}
+	gauge(float64(v.Standing.Known), "members_known")
+	gauge(float64(v.Standing.Reachable), "members_reachable")
+	gauge(map[bool]float64{true: 1}[v.Standing.Majority], "members_majority")
+	gauge(float64(v.Standing.Health), "members_self_doubt")
+	c := v.Counts
+	count(c.Sent, "members_words_total{way=%q}", "sent")
+	count(c.Taken, "members_words_total{way=%q}", "taken")
+	for why, n := range map[string]int64{"foreign": c.Foreign, "replayed": c.Replayed, "bad": c.Bad, "size": d.Size.Load(),
+		"version": d.Version.Load(), "proof": d.Proof.Load(), "payload": d.Payload.Load()} {
+		count(n, "members_dropped_total{reason=%q}", why)
+	}
+	count(d.Unsent.Load(), "members_unsent_total")
+	count(c.Suspicions, "members_suspicions_total")
+	count(c.Refuted, "members_refuted_total")
+	count(c.Deaths, "members_deaths_total")
+	count(c.Wakings, "members_wakings_total")
+}
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -23,6 +23,7 @@
 	"quilldoor/internal/disk"
 	"quilldoor/internal/front"
 	"quilldoor/internal/gateway"
+	"quilldoor/internal/memberlink"
 	"quilldoor/internal/operator"
 	"quilldoor/internal/shelf"
 	"quilldoor/internal/tier"
@@ -32,16 +33,17 @@
 
 // router holds the parts together and tells them of each other's news.
 type router struct {
-	log   *logrus.Entry
-	core  *core.Core
-	up    *upstream.Pool
-	front *front.Front
-	shelf *shelf.Shelf // nil: off
-	gate  *gateway.Gateway
-	keys  *gateway.Keys
-	host  *host
-	limit *config.Limits
-	kick  chan struct{}
+	log     *logrus.Entry
+	core    *core.Core
+	up      *upstream.Pool
+	front   *front.Front
+	shelf   *shelf.Shelf // nil: off
+	gate    *gateway.Gateway
+	keys    *gateway.Keys
+	members *memberlink.Link // nil: off
+	host    *host
+	limit   *config.Limits
+	kick    chan struct{}
 }
 
 func clock() int64 { return time.Now().UnixMicro() }
@@ -85,6 +87,12 @@
 		}
 		defer r.gate.Close()
 	}
+	if o := c.operator.Members; o != nil {
+		if err := r.openMembers(c, o); err != nil {
+			return err
+		}
+		defer r.members.Close()
+	}
 	if err := reserve(c.Limits.Sockets); err != nil {
 		r.log.WithError(err).Warn("descriptor table not grown")
 	}
@@ -99,6 +107,7 @@
 	follower.Apply(c.known)
 	unfollow := follow(ctx, follower, c.Board)
 	go r.attend(ctx)
+	go r.front.Attend(ctx.Done())
 	if m := c.operator.Metrics; m != nil {
 		go r.publish(ctx, m)
 	}
@@ -140,6 +149,9 @@
 	if r.gate != nil {
 		r.gate.Drain()
 	}
+	if r.members != nil {
+		r.members.Leave()
+	}
 	// What is under way towards the listener when the signal comes is still taken.
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(c.Limits.AcceptOn))
 	time.AfterFunc(c.Limits.AcceptOn, r.front.Crowd)
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -12,15 +12,24 @@
 	"quilldoor/internal/script"
 )
 
-// operator writes a router's own file: its gateway, and peers behind relays that
-// are as far away as the script says and are cut with the sites.
-func (r *process) operator() error {
+// operator writes a router's own file: its gateway, with peers behind relays that
+// are as far away as the script says and are cut with the sites, and its part among
+// the routers of the site.
+func (r *process) operator() (err error) {
 	site := func(x *process) string { return script.Zone(r.set.Fleet.Site(r.world.Office(x.id))) }
 	file := func(name string) string { return filepath.Join(r.dir, name) }
-	own := operator.Config{Gateway: &operator.Gateway{Name: nameOf(r.id), Site: site(r), Listen: r.gate, Reserve: siteRatio,
-		Most: mostAcross, BeatMS: beatEvery / 1000, Cert: file(nameOf(r.id) + ".pem"), Key: file(nameOf(r.id) + ".key"), CA: file("ca.pem")}}
+	var own operator.Config
+	if r.set.Fleet.Members {
+		if own.Members, err = r.membersPart(); err != nil {
+			return err
+		}
+	}
+	if r.gate != "" {
+		own.Gateway = &operator.Gateway{Name: nameOf(r.id), Site: site(r), Listen: r.gate, Reserve: siteRatio,
+			Most: mostAcross, BeatMS: beatEvery / 1000, Cert: file(nameOf(r.id) + ".pem"), Key: file(nameOf(r.id) + ".key"), CA: file("ca.pem")}
+	}
 	for _, x := range r.routers {
-		if site(x) == site(r) {
+		if r.gate == "" || site(x) == site(r) {
 			continue
 		}
 		addr, err := r.relay(x.gate)
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -63,6 +64,7 @@
 	conf    Routers
 	cut     atomic.Bool // sites can't reach each other
 	late    int64       // how late the loop did something, at most
+	knows   Members     // what was seen of the routers' knowledge of each other
 }
 
 // process is a router and what it alone talks to.
@@ -80,7 +82,9 @@
 	board   net.Listener
 	places  map[string]*place // by server
 	asks    map[string]*asked
-	gate    string // address of its gateway; "": its site is alone
+	gate    string         // address of its gateway; "": its site is alone
+	members netip.AddrPort // where it hears the other routers
+	starved *time.Ticker   // takes its CPU away time and again
 }
 
 // asked is a txn that the router has, with its hops so far.
@@ -96,7 +100,11 @@
 func Sockets(ctx context.Context, s *script.Script, opt Options, conf Routers) (*Result, error) {
 	f := &s.Fleet
 	routers := f.Offices * f.Routers
-	if n := routers * (f.Offices*f.Caches + f.Trunks*f.Parents + 1); n > mostListeners {
+	n := routers * (f.Offices*f.Caches + f.Trunks*f.Parents + 1)
+	if f.Members {
+		n += routers * routers // a way each
+	}
+	if n > mostListeners {
 		return nil, fmt.Errorf("%s: %d routers and their servers take %d listeners, %d at most: play it on the virtual clock",
 			s.Name, routers, n, mostListeners)
 	}
@@ -140,7 +148,7 @@
 			return nil, err
 		}
 	}
-	if f.Sites >= 2 {
+	if f.Sites >= 2 || f.Members {
 		for _, r := range v.routers {
 			if err := r.operator(); err != nil {
 				return nil, err
@@ -164,10 +172,18 @@
 		conf.Ready(addrs)
 	}
 	v.start = time.Now()
+	if f.Members {
+		v.all.Go(v.watch)
+	}
 	if err := v.loop(); err != nil {
 		return nil, err
 	}
-	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged, v.late}, nil
+	r := &Result{Result: v.world.Result, Breaks: v.referee.Breaks, Count: v.referee.Count, Judged: v.referee.Judged, Late: v.late,
+		Excused: v.referee.Excused}
+	if f.Members {
+		r.Members = &v.knows
+	}
+	return r, nil
 }
 
 func findProgram(name string) (string, error) {
@@ -414,6 +430,57 @@
 	}
 }
 
+// Stop lets a router stand still; its machine still accepts connections and keeps
+// what comes.
+func (v *sockets) Stop(router int) { v.routers[router].signal(syscall.SIGSTOP) }
+
+// Wake lets it go on.
+func (v *sockets) Wake(router int) { v.routers[router].signal(syscall.SIGCONT) }
+
+func (r *process) signal(s os.Signal) {
+	if err := r.cmd.Process.Signal(s); err != nil && !r.killed {
+		r.failed(fmt.Errorf("router n%d: %w", r.id+1, err))
+	}
+}
+
+// Starve takes a share of a router's CPU away, some milliseconds at a time, as a
+// busy neighbour on its core does.
+func (v *sockets) Starve(router int, share float64) {
+	const slice = 20 * time.Millisecond
+	r := v.routers[router]
+	if r.starved != nil {
+		r.starved.Stop()
+		r.starved = nil
+	}
+	if share == 0 {
+		return
+	}
+	r.starved = time.NewTicker(slice)
+	ticker, cmd := r.starved, r.cmd
+	v.all.Go(func() {
+		for {
+			select {
+			case <-ticker.C:
+			case <-v.ctx.Done():
+				return
+			}
+			v.send(func() {
+				if r.starved != ticker || r.cmd != cmd || r.killed || v.world.Stopped(router) {
+					return
+				}
+				r.signal(syscall.SIGSTOP)
+				time.AfterFunc(time.Duration(share*float64(slice)), func() {
+					v.send(func() {
+						if r.cmd == cmd && !r.killed && !v.world.Stopped(router) {
+							r.signal(syscall.SIGCONT)
+						}
+					})
+				})
+			})
+		}
+	})
+}
+
 func (v *sockets) failed(err error) {
 	select {
 	case v.fail <- err:
@@ -445,6 +512,11 @@
 		r.gate = l.Addr().String()
 		l.Close()
 	}
+	if r.set.Fleet.Members {
+		if r.members, err = r.freeUDP(); err != nil {
+			return err
+		}
+	}
 	if r.board, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
@@ -557,7 +629,7 @@
 		return err
 	}
 	cmd := exec.Command(r.conf.Program, "serve", "--config", path)
-	if r.gate != "" {
+	if r.gate != "" || r.members.IsValid() {
 		cmd.Args = append(cmd.Args, "--operator", filepath.Join(r.dir, nameOf(r.id)+".yaml"))
 	}
 	for _, e := range os.Environ() {
@@ -613,6 +685,10 @@
 		return
 	}
 	r.killed = true
+	if r.starved != nil {
+		r.starved.Stop()
+		r.starved = nil
+	}
 	r.cmd.Process.Kill()
 	<-r.ended
 }
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -11,6 +11,7 @@
 	"quilldoor/internal/crossing"
 	"quilldoor/internal/record"
 	"quilldoor/internal/referee"
+	"quilldoor/internal/roster"
 	"quilldoor/internal/script"
 	"quilldoor/internal/settings"
 	"quilldoor/internal/world"
@@ -36,6 +37,9 @@
 	Count  [6]int // broken, by rule
 	Judged int
 	Late   int64 // on sockets: how late the model was at most, in microseconds
+
+	Excused int      // txns that fell due while their router stood still
+	Members *Members // nil: routers don't know each other
 }
 
 // TooLate is when a run on sockets tells nothing: the model itself broke the
@@ -64,6 +68,8 @@
 	kicked  []*vrouter
 	ready   []*vtxn
 	purges  map[int][]world.Notice // that routers were told of, where sites are joined
+	roster  *roster.Fleet          // what routers know of each other; nil: nothing
+	knows   Members
 }
 
 // vrouter is a router: its core, and the time of its next timer.
@@ -77,6 +83,18 @@
 	open   map[string]*vtxn
 	gate   *crossing.Gate   // nil: its site is alone
 	from   map[string]*vtxn // txns that it has handed over
+
+	stopped bool
+	held    []func() // what waits for it to go on
+}
+
+// act does something at a router, or keeps it until the router has woken.
+func (r *vrouter) act(do func()) {
+	if r.stopped {
+		r.held = append(r.held, do)
+		return
+	}
+	do()
 }
 
 type vtxn struct {
@@ -105,9 +123,20 @@
 		v.start(r, v.world.Known())
 	}
 	v.settle()
+	v.know()
 	end, told := v.world.Length(), int64(0)
 	for steps := 0; !v.world.Over(); steps++ {
 		now := v.world.Next()
+		if v.roster != nil {
+			if at := v.roster.Next(); at <= now && (len(v.due) == 0 || at <= v.due[0].next) {
+				if at > end {
+					break
+				}
+				v.world.At(at)
+				v.roster.Until(at)
+				continue
+			}
+		}
 		if len(v.due) > 0 && v.due[0].next < now {
 			now = v.due[0].next
 			if now > end {
@@ -131,7 +160,15 @@
 			}
 		}
 	}
-	return &Result{v.world.Result, v.referee.Breaks, v.referee.Count, v.referee.Judged, 0}, nil
+	return v.result(), nil
+}
+
+func (v *virtual) result() *Result {
+	r := &Result{Result: v.world.Result, Breaks: v.referee.Breaks, Count: v.referee.Count, Judged: v.referee.Judged, Excused: v.referee.Excused}
+	if v.roster != nil {
+		r.Members = &v.knows
+	}
+	return r
 }
 
 // start makes a router's core from nothing.
@@ -173,6 +210,11 @@
 
 // run does what has fallen due at a router, and sets its next time.
 func (v *virtual) run(r *vrouter) {
+	if r.stopped {
+		r.next = 1 << 62
+		heap.Fix(&v.due, r.place)
+		return
+	}
 	next, errands := r.core.Run(v.now())
 	for _, o := range errands {
 		if o.Kind == core.Drop {
@@ -284,6 +326,10 @@
 
 // Ask opens a txn.
 func (v *virtual) Ask(a *world.Ask) {
+	v.routers[a.Router].act(func() { v.ask(a) })
+}
+
+func (v *virtual) ask(a *world.Ask) {
 	r := v.routers[a.Router]
 	t := &vtxn{router: r, core: r.core, ask: a}
 	txn, err := r.core.Open(v.now(), logic.Event{Txn: a.Txn, Rule: v.world.RuleOf(a.Rule).Name, Object: a.Object, Group: a.Group,
@@ -304,6 +350,10 @@
 
 // Leave says that a client has gone.
 func (v *virtual) Leave(router int, txn string) {
+	v.routers[router].act(func() { v.leave(router, txn) })
+}
+
+func (v *virtual) leave(router int, txn string) {
 	if r := v.routers[router]; r.from[txn] != nil {
 		delete(r.from, txn)
 		r.gate.Left(txn)
@@ -319,6 +369,10 @@
 
 // End ends a hop.
 func (v *virtual) End(router int, h *world.Hop, e world.End) {
+	v.routers[router].act(func() { v.end(router, h, e) })
+}
+
+func (v *virtual) end(router int, h *world.Hop, e world.End) {
 	r := v.routers[router]
 	o := core.Outcome{Code: e.Code, Note: e.Note, Waited: e.Waited, Load: e.Load}
 	if e.Code == "done" {
@@ -331,6 +385,10 @@
 
 // Told tells a router of servers, or of a purge.
 func (v *virtual) Told(router int, n world.Notice) {
+	v.routers[router].act(func() { v.told(router, n) })
+}
+
+func (v *virtual) told(router int, n world.Notice) {
 	r := v.routers[router]
 	if v.opt.Deaf != nil && v.opt.Deaf(n) {
 		return
@@ -352,6 +410,10 @@
 		t.over = true
 	}
 	r.core, r.open = nil, map[string]*vtxn{}
+	r.stopped, r.held = false, nil
+	if v.roster != nil {
+		v.roster.Kill(router)
+	}
 	v.part(r)
 	if r.place >= 0 {
 		heap.Remove(&v.due, r.place)
@@ -359,7 +421,44 @@
 }
 
 // Up starts it from nothing.
-func (v *virtual) Up(router int, known []world.Server) { v.start(v.routers[router], known) }
+func (v *virtual) Up(router int, known []world.Server) {
+	v.start(v.routers[router], known)
+	if v.roster != nil {
+		v.roster.Start(router)
+	}
+}
+
+// Stop lets a router stand still: what comes waits for it.
+func (v *virtual) Stop(router int) {
+	v.routers[router].stopped = true
+	if v.roster != nil {
+		v.roster.Stop(router)
+	}
+}
+
+// Wake lets it go on as it was.
+func (v *virtual) Wake(router int) {
+	r := v.routers[router]
+	r.stopped = false
+	held := r.held
+	r.held = nil
+	for _, do := range held {
+		do()
+	}
+	if r.core != nil {
+		v.run(r)
+	}
+	if v.roster != nil {
+		v.roster.Wake(router)
+	}
+}
+
+// Starve takes CPU from what the router knows of the others; txns cost none here.
+func (v *virtual) Starve(router int, share float64) {
+	if v.roster != nil {
+		v.roster.Starve(router, share)
+	}
+}
 
 // Note passes a line of the record on.
 func (v *virtual) Note(e *record.Entry) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 	"quilldoor/internal/gateway"
 	"quilldoor/internal/http1"
 	"quilldoor/internal/shelf"
+	"quilldoor/internal/standstill"
 	"quilldoor/internal/upstream"
 )
 
@@ -31,6 +32,8 @@
 	late     atomic.Int64     // answers after their time limits
 	ready    atomic.Bool
 	draining atomic.Bool
+	still    standstill.Watch
+	start    time.Time // of the steady clock that still is asked by
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
@@ -41,7 +44,7 @@
 
 // New makes a front; it is ready once told so.
 func New(c *core.Core, up *upstream.Pool, bodies *buffer.Pool, limits *config.Limits) *Front {
-	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]struct{}{}}
+	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]struct{}{}, start: time.Now()}
 	f.room.L, f.none.L = &f.mu, &f.mu
 	return f
 }
@@ -56,6 +59,20 @@
 // Ready lets the health check pass; true: it did not before.
 func (f *Front) Ready() bool { return f.ready.CompareAndSwap(false, true) }
 
+// Attend notices standstills of the process until stop is closed.
+func (f *Front) Attend(stop <-chan struct{}) {
+	every := time.NewTicker(standstill.Every * time.Microsecond)
+	defer every.Stop()
+	for {
+		f.still.Tick(time.Since(f.start).Microseconds())
+		select {
+		case <-stop:
+			return
+		case <-every.C:
+		}
+	}
+}
+
 // Serve accepts clients until the listener is closed or its deadline passes.
 // Above the bound on clients it makes one give way and waits until it has left.
 func (f *Front) Serve(l net.Listener) error {
@@ -278,6 +295,7 @@
 		return f.plain(c, status, last) && !last
 	}
 	t.body, t.first = body, first
+	t.waited = time.Duration(f.still.Waited(first.Sub(f.start).Microseconds())) * time.Microsecond
 	return f.txn(c, t, last) && !last
 }
 
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -24,6 +24,9 @@
 	body  *buffer.Body
 	first time.Time // when the request began to come
 	ttl   time.Duration
+	// waited is how long it may have lain unread before that, as the process stood
+	// still: its client counts that, too.
+	waited time.Duration
 }
 
 // parse reads a txn's target and headers; the status answers one that is wrong.
@@ -95,7 +98,10 @@
 // when it comes, when a hop ends, when a timer falls due and when the client
 // leaves; what it decides comes to the mailbox. False: the connection must end.
 func (f *Front) txn(c *client, a *ask, last bool) bool {
-	limit := a.first.Add(a.ttl)
+	if a.waited >= a.ttl { // nothing has run: trying again is harmless
+		return f.plain(c, 503, last)
+	}
+	limit := a.first.Add(a.ttl - a.waited)
 	kept, served := f.fromShelf(a, limit)
 	defer kept.Release()
 	if served {
--- /dev/null
+++ b/internal/memberlink/link.go
@@ -0,0 +1,204 @@
+// Package memberlink carries the words of package members between processes: one
+// UDP socket, datagrams with a proof by a shared key, a steady clock.
+package memberlink
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"quilldoor/internal/frames"
+	"quilldoor/internal/members"
+)
+
+// ReadKey reads the key that all routers of a site share.
+func ReadKey(path string) ([]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("members.key_file: %w", err)
+	}
+	if text = bytes.TrimSpace(text); len(text) < frames.LeastKey {
+		return nil, fmt.Errorf("members.key_file: %d bytes, %d at least", len(text), frames.LeastKey)
+	}
+	return text, nil
+}
+
+// Dropped counts datagrams that were not words.
+type Dropped struct{ Size, Version, Proof, Payload, Unsent atomic.Int64 }
+
+// Link is a running member.
+type Link struct {
+	Dropped Dropped
+
+	key   []byte
+	conn  *net.UDPConn
+	log   *logrus.Entry
+	start time.Time
+	done  chan struct{}
+	all   sync.WaitGroup
+
+	mu       sync.Mutex
+	node     *members.Node
+	majority bool
+}
+
+// Start opens the socket and begins to look for the others.
+func Start(set members.Settings, key []byte, listen netip.AddrPort, log *logrus.Entry) (*Link, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, fmt.Errorf("members.listen: %w", err)
+	}
+	set.Addr, set.Life, set.Most = listen, uint32(time.Now().Unix()), 1200
+	l := &Link{key: key, conn: conn, log: log, start: time.Now(), done: make(chan struct{})}
+	// Two processes of one name must not draw alike: this seed is not the configured one.
+	l.node = members.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), l.now())
+	l.all.Go(l.read)
+	l.all.Go(l.run)
+	return l, nil
+}
+
+func (l *Link) now() int64 { return time.Since(l.start).Microseconds() }
+
+// run calls the node when it wants to be called.
+func (l *Link) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-timer.C:
+		}
+		l.mu.Lock()
+		now := l.now()
+		next, out, news := l.node.Run(now)
+		stood := l.node.Standing()
+		l.mu.Unlock()
+		l.send(out)
+		l.tell(news, stood)
+		timer.Reset(time.Duration(next-l.now()) * time.Microsecond)
+	}
+}
+
+// read takes datagrams. Who floods it with what is not ours gets a bounded part of
+// the core: the system drops the rest.
+func (l *Link) read() {
+	const atOnce, rest = 64, 2 * time.Millisecond
+	b := make([]byte, frames.MostDatagram+1)
+	for bad := 0; ; {
+		size, from, err := l.conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // of an earlier send: it proves nothing
+		}
+		w := new(members.Word)
+		if err := frames.Open(l.key, b[:size], w); err != nil {
+			l.drop(err)
+			if bad++; bad >= atOnce {
+				bad = 0
+				time.Sleep(rest)
+			}
+			continue
+		}
+		l.mu.Lock()
+		out := l.node.Heard(l.now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), w)
+		l.mu.Unlock()
+		l.send(out)
+	}
+}
+
+func (l *Link) drop(err error) {
+	switch {
+	case errors.Is(err, frames.ErrSize):
+		l.Dropped.Size.Add(1)
+	case errors.Is(err, frames.ErrVersion):
+		l.Dropped.Version.Add(1)
+	case errors.Is(err, frames.ErrProof):
+		l.Dropped.Proof.Add(1)
+	default:
+		l.Dropped.Payload.Add(1)
+	}
+}
+
+func (l *Link) send(out []members.Out) {
+	for _, o := range out {
+		b, err := frames.Seal(l.key, o.Word)
+		if err == nil && o.Addr.IsValid() {
+			_, err = l.conn.WriteToUDPAddrPort(b, o.Addr)
+		}
+		if err != nil || !o.Addr.IsValid() {
+			l.Dropped.Unsent.Add(1)
+		}
+	}
+}
+
+// tell logs what has changed.
+func (l *Link) tell(news []members.Change, s members.Standing) {
+	for _, c := range news {
+		line := l.log.WithFields(logrus.Fields{"member": c.Name, "was": c.From.String(), "life": c.ID.Life})
+		switch c.To {
+		case members.Suspected:
+			line.Debug("members: suspected")
+		case members.Dead:
+			line.Warn("members: dead")
+		case members.Doubled:
+			line.Error("members: another process has this router's name, this one keeps quiet")
+		case members.Alive:
+			if c.From == members.Suspected {
+				line.Debug("members: alive")
+			} else {
+				line.Info("members: alive")
+			}
+		case members.Unknown:
+			line.Debug("members: forgotten")
+		default:
+			line.Info("members: " + c.To.String())
+		}
+	}
+	if s.Majority != l.majority && s.State != members.Joining {
+		l.majority = s.Majority
+		line := l.log.WithFields(logrus.Fields{"known": s.Known, "reachable": s.Reachable, "answered": s.Answered, "asked": s.Asked,
+			"silence_ms": s.Silence / 1000, "waking": s.Waking})
+		if s.Majority {
+			line.Info("members: the greater part is reachable")
+		} else {
+			line.Warn("members: cut off, or the smaller part")
+		}
+	}
+}
+
+// View is all that is held of the others.
+func (l *Link) View() *members.View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.View()
+}
+
+// Leave says that the router will go; it still answers.
+func (l *Link) Leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.Leave(l.now())
+}
+
+// Close says that it goes, and ends.
+func (l *Link) Close() {
+	l.mu.Lock()
+	out := l.node.Gone(l.now())
+	l.mu.Unlock()
+	l.send(out)
+	close(l.done)
+	l.conn.Close()
+	l.all.Wait()
+}
--- a/internal/members/hear.go
+++ b/internal/members/hear.go
@@ -92,6 +92,7 @@
 	if m.high == 0 {
 		m.fresh(w.N)
 	}
+	m.view = fold(w.Digest)
 	return m
 }
 
@@ -372,8 +373,11 @@
 		switch r.next {
 		case Suspected:
 			n.Counts.Suspicions++
-			if m.checked = false; in != inSilent {
+			if m.checked, m.checkAt = false, 0; in != inSilent {
 				m.silent = 0 // of earlier questions
+				if n.dice.IntN(n.alive+1) < checkers {
+					m.checkAt = n.now + suspicionLeast(n.alive+1)/4
+				}
 			}
 		case Dead:
 			n.Counts.Deaths++
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -94,6 +94,7 @@
 	burst         = 3000 // bytes that may be passed on at once after a quiet time
 
 	checkBefore  = 250 * ms   // suspicion's end: nobody is buried whom this router has not asked in vain itself
+	checkers     = 10         // about so many ask a suspect at once, and become witnesses or hear that it lives
 	relays       = 3          // asked to ask again
 	mostAsked    = 32         // questions that wait for an answer; the oldest is given up
 	mostRelayed  = 64         // of others; more are not taken
@@ -125,7 +126,8 @@
 	name, place string
 	addr        netip.AddrPort
 	seed        bool
-	checked     bool // asked in this suspicion, before it ends
+	checked     bool  // asked in this suspicion, before it ends
+	checkAt     int64 // when; 0: shortly before the end
 	id          ID
 	inc         uint32
 	state       State
@@ -136,6 +138,7 @@
 	since       int64          // of the state
 	heard       int64          // the last proof: a fresh word of its own; 0: never
 	rtt         int32          // of its last answer
+	view        uint32         // digest of its view, folded, by its last word
 	passed      int64          // when its rumour last began
 	due         int64          // suspicion: when it counts as dead
 	high        uint64         // highest number of its words
--- a/internal/members/node.go
+++ b/internal/members/node.go
@@ -245,7 +245,11 @@
 		return list
 	}
 	slices.SortStableFunc(n.hot, func(a, b *member) int { return int(b.spread) - int(a.spread) })
+	same := to.view == fold(n.whole()) // it knows all but suspicions
 	for _, m := range n.hot {
+		if same && m.state != Suspected {
+			continue
+		}
 		if m != to && m.spread > 0 && add(m.rumour()) && !n.set.wrong.noBound {
 			m.spread--
 		}
@@ -517,7 +521,7 @@
 	}
 	var all []*member
 	for _, m := range n.members {
-		if m.state == Suspected && n.now >= m.due-checkBefore || m.state == Dead && n.now-m.since > keepDead && !m.seed ||
+		if m.state == Suspected && (n.now >= m.due-checkBefore || m.checkAt > 0 && n.now >= m.checkAt && !m.checked) || m.state == Dead && n.now-m.since > keepDead && !m.seed ||
 			m.state == Left && n.now-m.since > keepLeft && !m.seed {
 			all = append(all, m)
 		}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -18,6 +18,7 @@
 	Since     int64 `cbor:"7,keyasint,omitempty"`  // when Majority last changed
 	Silence   int64 `cbor:"8,keyasint,omitempty"`  // how long nobody has been heard
 	Waking    bool  `cbor:"9,keyasint,omitempty"`  // it was stopped, and has not heard since
+	Age       int64 `cbor:"11,keyasint,omitempty"` // of Since
 	Health    int   `cbor:"10,keyasint,omitempty"` // 0 good to 3: how much it doubts itself
 }
 
@@ -44,6 +45,7 @@
 	if s.Majority != n.stood.Majority {
 		s.Since = n.now
 	}
+	s.Age = n.now - s.Since
 	n.stood = s
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,6 +26,23 @@
 	Disk    *Disk    `yaml:"disk"`
 	Metrics *Metrics `yaml:"metrics"`
 	Gateway *Gateway `yaml:"gateway"`
+	Members *Members `yaml:"members"`
+}
+
+// Members lets the routers of a site know each other.
+type Members struct {
+	Name    string   `yaml:"name"`
+	Place   string   `yaml:"place"`  // "": the zone of the settings
+	Listen  string   `yaml:"listen"` // UDP
+	KeyFile string   `yaml:"key_file"`
+	Peers   []Member `yaml:"peers"`
+	Rate    int      `yaml:"rate_bytes_per_s"`
+}
+
+// Member is a router to begin with. Its address goes before what others say.
+type Member struct {
+	Name string `yaml:"name"`
+	Addr string `yaml:"addr"`
 }
 
 // Gateway joins this router to routers of another site.
@@ -144,12 +161,50 @@
 			return yamlfile.Wrong("metrics.every_s", "%d is not within 1 and 3600", m.EveryS)
 		}
 	}
+	if m := c.Members; m != nil {
+		if err := m.check(); err != nil {
+			return err
+		}
+	}
 	if g := c.Gateway; g != nil {
 		return g.check()
 	}
 	return nil
 }
 
+func (m *Members) check() error {
+	const mostName, mostPeers = 64, 512
+	addr, err := netip.ParseAddrPort(m.Listen)
+	switch {
+	case m.Name == "" || m.Name == "?" || len(m.Name) > mostName:
+		return yamlfile.Wrong("members.name", "missing, or no name of up to %d bytes", mostName)
+	case len(m.Place) > mostName:
+		return yamlfile.Wrong("members.place", "longer than %d bytes", mostName)
+	case err != nil || addr.Addr().IsUnspecified() || addr.Port() == 0:
+		return yamlfile.Wrong("members.listen", "not an address with a port that others can reach")
+	case !filepath.IsAbs(m.KeyFile):
+		return yamlfile.Wrong("members.key_file", "not an absolute path")
+	case len(m.Peers) == 0 || len(m.Peers) > mostPeers:
+		return yamlfile.Wrong("members.peers", "%d of them, 1 to %d wanted", len(m.Peers), mostPeers)
+	}
+	// 300: below, a death takes longer to be passed on than to be found.
+	if m.Rate = cmp.Or(m.Rate, 1500); m.Rate < 300 || m.Rate > 1_000_000 {
+		return yamlfile.Wrong("members.rate_bytes_per_s", "%d is not within 300 and 1000000", m.Rate)
+	}
+	seen := map[string]bool{}
+	for i, p := range m.Peers {
+		key := fmt.Sprintf("members.peers[%d]", i)
+		if p.Name == "" || p.Name == "?" || len(p.Name) > mostName || seen[p.Name] {
+			return yamlfile.Wrong(key+".name", "%q is empty, too long or stands twice", p.Name)
+		}
+		if _, err := netip.ParseAddrPort(p.Addr); err != nil {
+			return yamlfile.Wrong(key+".addr", "not an address with a port")
+		}
+		seen[p.Name] = true
+	}
+	return nil
+}
+
 func (g *Gateway) check() error {
 	for key, text := range map[string]string{"name": g.Name, "site": g.Site, "cert": g.Cert, "key": g.Key, "ca": g.CA} {
 		if text == "" {
@@ -200,6 +255,9 @@
 	if !reflect.DeepEqual(c.Gateway, other.Gateway) {
 		keys = append(keys, "gateway")
 	}
+	if !reflect.DeepEqual(c.Members, other.Members) {
+		keys = append(keys, "members")
+	}
 	return keys
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -12,7 +12,8 @@
 //	final       the router's answer; left: the client's time was over without one
 //	listed      the board will tell at Until; told: a router was told of a server
 //	purged      an editor's purge; told_purge: a router was told of it
-//	started, down, fell, stopped   of servers; router_down, router_up
+//	started, down, fell, stopped   of servers; router_down, router_up,
+//	            router_stopped, router_woken   of routers
 //	trouble     of the script
 type Entry struct {
 	At       int64
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -77,6 +77,10 @@
 
 	Sites  int     `yaml:"sites"`   // 2 or more: routers of different sites are joined by gateways; offices belong to them in turn
 	SiteMS float64 `yaml:"site_ms"` // one way between sites
+
+	Members     bool    `yaml:"members"` // routers know each other
+	WayMS       float64 `yaml:"way_ms"`  // one way between routers
+	WayJitterMS float64 `yaml:"way_jitter_ms"`
 }
 
 // Load is what clients do.
@@ -120,29 +124,41 @@
 
 // Kinds are the troubles there are.
 var Kinds = map[string]Kind{
-	"die":           {About: "caches die with a reset and come back cold and empty", Place: "caches"},
-	"silent":        {About: "caches say nothing more and come back cold and empty", Place: "caches"},
-	"pause":         {About: "caches stand still for strength ms, time and again", Place: "caches", Strength: 200, Least: 1, Most: 5000, Waves: true},
-	"deploy":        {About: "caches are drained in waves; successors start cold and empty", Place: "caches", Strength: 2, Least: 1, Most: 50, Waves: true},
-	"preempt":       {About: "caches are drained and gone strength s later; they come back", Place: "caches", Strength: 1, Least: 0.1, Most: 60},
-	"office_lost":   {About: "all caches of an office are lost and come back cold and empty", Place: "office"},
-	"parents_lost":  {About: "all parents of a trunk are lost and come back cold and empty", Place: "trunk"},
-	"purge":         {About: "a share of the groups is purged at once"},
-	"purge_object":  {About: "the strength most popular objects are purged one by one", Strength: 10, Least: 1, Most: 10000},
-	"ledger_slow":   {About: "the ledger works strength times slower", Strength: 3, Least: 1, Most: 100},
-	"ledger_stop":   {About: "the ledger answers nothing"},
-	"late_reports":  {About: "load reports come strength s later", Strength: 2, Least: 0.01, Most: 60},
-	"late_board":    {About: "the notice board tells strength s later", Strength: 3, Least: 0.01, Most: 60},
-	"cut_board":     {About: "the notice board can't be reached"},
-	"once":          {About: "a share of the txns is for objects wanted once"},
-	"burst":         {About: "strength times the txns", Strength: 2, Least: 0.01, Most: 100},
-	"router_dies":   {About: "routers are killed and start from nothing", Place: "routers"},
-	"resets":        {About: "a share of the answers is a reset in their place", Place: "caches"},
-	"ledger_resets": {About: "a share of the ledger's answers is a reset in their place"},
-	"endless":       {About: "a share of the answers never comes", Place: "caches"},
-	"spoilt":        {About: "a share of the answers can't be read: their connection ends", Place: "caches"},
-	"site_cut":      {About: "sites can't reach each other"},
-	"errors":        {About: "a share of the answers is an error without a reason", Place: "caches"},
+	"die":            {About: "caches die with a reset and come back cold and empty", Place: "caches"},
+	"silent":         {About: "caches say nothing more and come back cold and empty", Place: "caches"},
+	"pause":          {About: "caches stand still for strength ms, time and again", Place: "caches", Strength: 200, Least: 1, Most: 5000, Waves: true},
+	"deploy":         {About: "caches are drained in waves; successors start cold and empty", Place: "caches", Strength: 2, Least: 1, Most: 50, Waves: true},
+	"preempt":        {About: "caches are drained and gone strength s later; they come back", Place: "caches", Strength: 1, Least: 0.1, Most: 60},
+	"office_lost":    {About: "all caches of an office are lost and come back cold and empty", Place: "office"},
+	"parents_lost":   {About: "all parents of a trunk are lost and come back cold and empty", Place: "trunk"},
+	"purge":          {About: "a share of the groups is purged at once"},
+	"purge_object":   {About: "the strength most popular objects are purged one by one", Strength: 10, Least: 1, Most: 10000},
+	"ledger_slow":    {About: "the ledger works strength times slower", Strength: 3, Least: 1, Most: 100},
+	"ledger_stop":    {About: "the ledger answers nothing"},
+	"late_reports":   {About: "load reports come strength s later", Strength: 2, Least: 0.01, Most: 60},
+	"late_board":     {About: "the notice board tells strength s later", Strength: 3, Least: 0.01, Most: 60},
+	"cut_board":      {About: "the notice board can't be reached, by a share of the routers", Place: "routers"},
+	"once":           {About: "a share of the txns is for objects wanted once"},
+	"burst":          {About: "strength times the txns", Strength: 2, Least: 0.01, Most: 100},
+	"router_dies":    {About: "routers are killed and start from nothing", Place: "routers"},
+	"router_stops":   {About: "routers stand still and wake as they were", Place: "routers"},
+	"router_starves": {About: "neighbours take a share strength of the routers' CPU", Place: "routers", Strength: 0.6, Least: 0.01, Most: 0.95},
+	"ways_delay":     {About: "words among routers come strength ms later, both ways", Place: "routers", Strength: 50, Least: 1, Most: 10000},
+	"ways_jitter":    {About: "words among routers come up to strength ms later, by chance", Place: "routers", Strength: 50, Least: 1, Most: 10000},
+	"ways_loss":      {About: "a share strength of the words among routers is lost", Place: "routers", Strength: 0.05, Least: 0.001, Most: 1},
+	"ways_double":    {About: "a share strength of the words among routers comes twice", Place: "routers", Strength: 0.1, Least: 0.001, Most: 1},
+	"ways_reorder":   {About: "a share strength of the words among routers is overtaken", Place: "routers", Strength: 0.1, Least: 0.001, Most: 1},
+	"ways_slow":      {About: "ways among routers carry strength KB a second", Place: "routers", Strength: 2, Least: 0.1, Most: 1e6},
+	"ways_cut":       {About: "routers are cut off from all others, and from each other", Place: "routers"},
+	"ways_one_way":   {About: "what routers say comes to no other, what others say comes to them", Place: "routers"},
+	"ways_camps":     {About: "routers are cut into strength parts, the first takes a share; no share: even ones", Strength: 2, Least: 2, Most: 3},
+	"ways_chain":     {About: "a third of the routers is cut from another third, the last third sees both"},
+	"resets":         {About: "a share of the answers is a reset in their place", Place: "caches"},
+	"ledger_resets":  {About: "a share of the ledger's answers is a reset in their place"},
+	"endless":        {About: "a share of the answers never comes", Place: "caches"},
+	"spoilt":         {About: "a share of the answers can't be read: their connection ends", Place: "caches"},
+	"site_cut":       {About: "sites can't reach each other"},
+	"errors":         {About: "a share of the answers is an error without a reason", Place: "caches"},
 }
 
 // Default is the small fleet: three offices at two trunks.
@@ -153,7 +169,7 @@
 			TrunkMS: 7, FarMS: 30, ClientMS: 5, ParentLink: 1.3, ParentKeeps: 0.7, LedgerWork: 12, LedgerMS: 40,
 			LedgerRefuse: 0.85, LedgerStops: 2.5, LedgerStopS: 4, ColdFrom: 0.3, ColdS: 12, FallMultiple: 2, FallMS: 1000,
 			ParentColdFrom: 0.1, ParentColdS: 18, ReportMS: 300, ReportDelayMS: 120, ReportNoise: 0.06, BoardMS: 800,
-			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true, SiteMS: 20},
+			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true, SiteMS: 20, WayMS: 0.3, WayJitterMS: 0.4},
 		Load: Load{TxnsPerS: 160, Videos: 0.54, Writes: 0.034, Objects: 3000, Skew: 0.9, LocalShare: 0.15, DriftS: 10, Retries: 2,
 			WaitMS: 150, Honour: 0.5, Patience: 0.8}}
 }
@@ -255,7 +271,7 @@
 	case t.Every > 0 && t.Every < 0.01:
 		return yamlfile.Wrong(key+"every", "%g is not 0.01 or more", t.Every)
 	}
-	if t.Share == 0 {
+	if t.Share == 0 && t.Kind != "ways_camps" {
 		t.Share = 1
 	}
 	if k.Waves {
@@ -359,6 +375,7 @@
 	set.Contract.ColdFrom, set.Contract.ColdMs = f.ColdFrom, f.ColdS*1000
 	set.Contract.FallMs, set.Contract.FallMultiple = f.FallMS, f.FallMultiple
 	l := &set.Limits
+	l.PeerMessages = f.Members
 	l.Cancel, l.RetryAfter, l.SecondCopies, l.MostTries = true, true, f.SecondCopies, 6
 	l.StreamsPerConn, l.MaxRetryAfterMs, l.ConnectTimeoutMs, l.ConnIdleMs = 32, 500, 400, 15_000
 	set.LoadReport.Fields, set.LoadReport.How = []string{"util", "x0", "x1"}, "inline"
--- a/internal/ways/ways.go
+++ b/internal/ways/ways.go
@@ -7,6 +7,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 )
 
 // Trouble is on the ways from some routers to some, until it is taken away.
@@ -14,7 +15,6 @@
 	From, To []int // nil: all
 	Both     bool  // the other direction as well
 	Cut      bool  // silently
-	Refused  bool  // cut, and the sender is told that nobody listens
 	Delay    int64 // microseconds, one way
 	Jitter   int64 // up to so much more, by chance
 	Loss     float64
@@ -27,8 +27,9 @@
 // long a slow way's queue is.
 const reorderBy, queueMost = 30_000, 2_000_000
 
-// Net is the ways of a fleet.
+// Net is the ways of a fleet. It may be used by several goroutines.
 type Net struct {
+	mu       sync.Mutex
 	Delay    int64 // of every way
 	Jitter   int64
 	troubles []*Trouble
@@ -46,7 +47,11 @@
 // Add puts a trouble on; what it returns takes it away.
 func (n *Net) Add(t *Trouble) (over func()) {
 	n.troubles = append(n.troubles, t)
-	return func() { n.troubles = slices.DeleteFunc(n.troubles, func(o *Trouble) bool { return o == t }) }
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.troubles = slices.DeleteFunc(n.troubles, func(o *Trouble) bool { return o == t })
+	}
 }
 
 func (t *Trouble) on(from, to int) bool {
@@ -54,13 +59,17 @@
 	return in(t.From, from) && in(t.To, to) || t.Both && in(t.From, to) && in(t.To, from)
 }
 
-// Refused tells whether a sender is told that nobody listens.
-func (n *Net) Refused(from, to int) bool {
-	return slices.ContainsFunc(n.troubles, func(t *Trouble) bool { return t.Refused && t.on(from, to) })
+// Open tells whether anything sent now could arrive.
+func (n *Net) Open(from, to int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !slices.ContainsFunc(n.troubles, func(t *Trouble) bool { return t.Cut && t.on(from, to) })
 }
 
 // Carry tells when what is sent now arrives: not at all, once or twice.
 func (n *Net) Carry(now int64, from, to, size int) (at []int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.Sent++
 	delay, copies := n.Delay, 1
 	if n.Jitter > 0 {
@@ -70,7 +79,7 @@
 		if !t.on(from, to) {
 			continue
 		}
-		if t.Cut || t.Refused || t.Loss > 0 && n.dice.Float64() < t.Loss {
+		if t.Cut || t.Loss > 0 && n.dice.Float64() < t.Loss {
 			n.Lost++
 			return nil
 		}
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -15,6 +15,7 @@
 
 	"quilldoor/internal/record"
 	"quilldoor/internal/script"
+	"quilldoor/internal/ways"
 	"quilldoor/logic"
 )
 
@@ -28,7 +29,10 @@
 	Told(router int, n Notice)     // the notice board tells
 	Down(router int)               // killed outright
 	Up(router int, known []Server) // started from nothing, with the list as it is
-	Note(e *Entry)                 // for the record: what the referee judges by
+	Stop(router int)               // stands still; Wake: goes on as it was
+	Wake(router int)
+	Starve(router int, share float64) // of its CPU that others take; 0: none
+	Note(e *Entry)                    // for the record: what the referee judges by
 }
 
 // Server is a line of the list.
@@ -150,8 +154,22 @@
 	// sockets and clocks take.
 	Slack  int64
 	Result *Result
+
+	// Ways between routers, with dice of their own.
+	Ways     *ways.Net
+	wayDice  *rand.Rand
+	lastTurn int64 // when a trouble began or ended last
 }
 
+// LastTurn is when a trouble began or ended last.
+func (w *World) LastTurn() int64 { return w.lastTurn }
+
+// Up tells whether a router runs, Stopped whether it stands still.
+func (w *World) Up(router int) bool { return w.routers[router].up }
+
+// Stopped tells whether a router stands still.
+func (w *World) Stopped(router int) bool { return w.routers[router].stopped > 0 }
+
 // warmKey is a part at an office, or at a trunk (below 0).
 type warmKey struct {
 	place int
@@ -168,6 +186,9 @@
 	id      int
 	office  int
 	up      bool
+	life    int
+	stopped int  // troubles that hold it
+	cut     bool // it can't reach the board
 	downAt  int64
 	toldAt  int64 // the last notice; later ones come behind it
 	held    []heldNotice
@@ -180,6 +201,8 @@
 	w := &World{set: s, driver: d, rules: s.Rules(), dice: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[string]*server{}, hops: map[hopKey]*Hop{}, purged: map[int64]int64{}, warmed: map[warmKey]bool{}, burst: 1, Result: newResult(s)}
 	f := &s.Fleet
+	w.wayDice = rand.New(rand.NewPCG(seed, 0x7761797773))
+	w.Ways = ways.New(int64(f.WayMS*1000), int64(f.WayJitterMS*1000), rand.New(rand.NewPCG(seed, 0x77617973)))
 	w.cat = newCatalogue(s, w.dice)
 	for o := range f.Offices {
 		w.links = append(w.links, w.link(f.OfficeLink()))
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -25,13 +25,16 @@
 // silent is a driver whose routers answer nothing.
 type silent struct{}
 
-func (silent) Ask(*Ask)           {}
-func (silent) Leave(int, string)  {}
-func (silent) End(int, *Hop, End) {}
-func (silent) Told(int, Notice)   {}
-func (silent) Down(int)           {}
-func (silent) Up(int, []Server)   {}
-func (silent) Note(*Entry)        {}
+func (silent) Ask(*Ask)            {}
+func (silent) Leave(int, string)   {}
+func (silent) End(int, *Hop, End)  {}
+func (silent) Told(int, Notice)    {}
+func (silent) Down(int)            {}
+func (silent) Up(int, []Server)    {}
+func (silent) Stop(int)            {}
+func (silent) Wake(int)            {}
+func (silent) Starve(int, float64) {}
+func (silent) Note(*Entry)         {}
 
 func bare() *World {
 	s := script.Default()
