--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -14,6 +14,7 @@
 	"quilldoor/internal/roster"
 	"quilldoor/internal/script"
 	"quilldoor/internal/settings"
+	"quilldoor/internal/standstill"
 	"quilldoor/internal/world"
 	"quilldoor/logic"
 )
@@ -84,8 +85,10 @@
 	gate   *crossing.Gate   // nil: its site is alone
 	from   map[string]*vtxn // txns that it has handed over
 
-	stopped bool
-	held    []func() // what waits for it to go on
+	stopped   bool
+	held      []func() // what waits for it to go on
+	stoppedAt int64
+	wokeAt    int64 // 0: it never stood still
 }
 
 // act does something at a router, or keeps it until the router has woken.
@@ -332,8 +335,17 @@
 func (v *virtual) ask(a *world.Ask) {
 	r := v.routers[a.Router]
 	t := &vtxn{router: r, core: r.core, ask: a}
+	// What is read as it wakes may have waited all the time, as front has it.
+	left := a.Limit
+	if r.wokeAt > 0 && v.now()-r.wokeAt < standstill.After {
+		left -= v.now() - r.stoppedAt
+	}
+	if left <= 0 {
+		v.world.Final(r.id, a.Txn, "rejected", 0, 0)
+		return
+	}
 	txn, err := r.core.Open(v.now(), logic.Event{Txn: a.Txn, Rule: v.world.RuleOf(a.Rule).Name, Object: a.Object, Group: a.Group,
-		Part: a.Part, Remaining: a.Limit, Repeat: a.Again, Write: a.Write}, func() {
+		Part: a.Part, Remaining: left, Repeat: a.Again, Write: a.Write}, func() {
 		if !t.rung && !t.over {
 			t.rung = true
 			v.ready = append(v.ready, t)
@@ -410,7 +422,7 @@
 		t.over = true
 	}
 	r.core, r.open = nil, map[string]*vtxn{}
-	r.stopped, r.held = false, nil
+	r.stopped, r.held, r.wokeAt = false, nil, 0
 	if v.roster != nil {
 		v.roster.Kill(router)
 	}
@@ -430,7 +442,8 @@
 
 // Stop lets a router stand still: what comes waits for it.
 func (v *virtual) Stop(router int) {
-	v.routers[router].stopped = true
+	r := v.routers[router]
+	r.stopped, r.stoppedAt = true, v.now()
 	if v.roster != nil {
 		v.roster.Stop(router)
 	}
@@ -439,7 +452,7 @@
 // Wake lets it go on as it was.
 func (v *virtual) Wake(router int) {
 	r := v.routers[router]
-	r.stopped = false
+	r.stopped, r.wokeAt = false, v.now()
 	held := r.held
 	r.held = nil
 	for _, do := range held {
--- a/internal/members/hear.go
+++ b/internal/members/hear.go
@@ -76,7 +76,7 @@
 		switch c := f.ID.Compare(m.id); {
 		case c < 0:
 			n.Counts.Foreign++
-			n.send(m, Hello, Word{}) // an earlier life still runs, or its word was long on the way
+			n.outdated(m, w)
 			return nil
 		case c == 0 && !n.set.wrong.takesReplays && !m.fresh(w.N):
 			n.Counts.Replayed++
@@ -187,11 +187,7 @@
 	if m != nil {
 		stranger.addr = m.address(w.From.Addr)
 		if c := m.id.Compare(w.From.ID); m.state != Unknown && (c > 0 || c == 0 && m.state.gone()) {
-			// It must know what is held of its name, to say otherwise.
-			r := m.rumour()
-			n.send(stranger, Welcome, Word{Seq: w.Seq})
-			out := n.out[len(n.out)-1].Word
-			out.Rumours = append([]Rumour{r}, out.Rumours...)
+			n.outdated(m, w)
 			return
 		}
 	}
@@ -200,6 +196,16 @@
 	}
 }
 
+// outdated answers a life that is held over, or lower than one that was heard of:
+// it must know what is held of its name, to say otherwise. Nothing is answered to
+// that but once, by a comparing.
+func (n *Node) outdated(m *member, w *Word) {
+	r := m.rumour()
+	n.send(&member{name: m.name, addr: m.address(w.From.Addr), id: w.From.ID}, Welcome, Word{Seq: w.Seq})
+	out := n.out[len(n.out)-1].Word
+	out.Rumours = append([]Rumour{r}, out.Rumours...)
+}
+
 // address of a member: the operator's file goes before what is told.
 func (m *member) address(told netip.AddrPort) netip.AddrPort {
 	if m.seed && m.addr.IsValid() || !told.IsValid() {
@@ -401,11 +407,9 @@
 			n.pass(m, 1)
 		}
 	case doubt:
-		const price = 150 // bytes of the question
 		if m.witness(by) {
 			n.setDue(m)
-			if n.tokens >= price {
-				n.tokens -= price
+			if n.pay() {
 				n.ping(m)
 			}
 		}
@@ -414,12 +418,25 @@
 			m.due, m.checked = max(m.due, n.now+suspicionLeast(n.alive+1)), false
 		}
 	case tell:
-		n.send(m, Ping, Word{}) // with what is held of it
+		if n.pay() {
+			n.send(m, Ping, Word{}) // with what is held of it
+		}
 	case drop:
 		n.forget(m)
 	}
 }
 
+// pay takes a question that no round asks for out of what may be passed on.
+func (n *Node) pay() bool {
+	const price = 150 // bytes
+	n.fill()
+	if n.tokens < price {
+		return false
+	}
+	n.tokens -= price
+	return true
+}
+
 func (m *member) witness(by uint16) (fresh bool) {
 	for i, w := range m.witnesses {
 		if w == by {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -89,7 +89,6 @@
 
 	defaultPeriod = 100 * ms // ten questions a second: a death is met in 0.46 s (99 of 100), for 1.6 kB/s
 	defaultMost   = 1200
-	leastMost     = 200
 	defaultRate   = 1500
 	burst         = 3000 // bytes that may be passed on at once after a quiet time
 
--- a/internal/members/node.go
+++ b/internal/members/node.go
@@ -207,6 +207,9 @@
 	if k == Ping || k == Ack || k == Through || k == Nack {
 		w.From.Place = "" // known from the words before
 	}
+	if w.From.State == Doubled {
+		w.From.State = Joining // it asks to be taken in again
+	}
 	if k != Hello {
 		w.Life = m.id
 		if k != Tell && k != Compare {
@@ -222,8 +225,7 @@
 // and over time.
 func (n *Node) ride(to *member) (list []Rumour) {
 	const most = 400 // of a word's bytes: a ping stays small
-	n.tokens = min(n.tokens+float64(n.now-n.filled)*float64(n.set.Rate)/second, burst)
-	n.filled = n.now
+	n.fill()
 	room := min(float64(min(most, n.set.Most-headBytes)), n.tokens)
 	if n.set.wrong.noBound {
 		room = most
@@ -245,7 +247,7 @@
 		return list
 	}
 	slices.SortStableFunc(n.hot, func(a, b *member) int { return int(b.spread) - int(a.spread) })
-	same := to.view == fold(n.whole()) // it knows all but suspicions
+	same := to.view == fold(n.whole()) && !n.set.wrong.noBound // it knows all but suspicions
 	for _, m := range n.hot {
 		if same && m.state != Suspected {
 			continue
@@ -263,6 +265,12 @@
 	return list
 }
 
+// fill adds what time allows to be passed on.
+func (n *Node) fill() {
+	n.tokens = min(n.tokens+float64(n.now-n.filled)*float64(n.set.Rate)/second, burst)
+	n.filled = n.now
+}
+
 func (m *member) size() int { r := m.rumour(); return r.size() }
 
 // rumour is what is passed on; brief where the others know who it is.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -27,7 +27,14 @@
 		gate("peers: [{name: m, site: north, addr: \"127.0.0.1:1\"}]"):           "f:8: gateway.peers[0].site",
 		gate("peers: [{name: m, site: s, addr: there}]"):                         "f:8: gateway.peers[0].addr",
 		gate("peers: [{name: m, site: s, addr: \"127.0.0.1:1\"}]\n  reserve: 1"): "f:9: gateway.reserve",
-		"\tdisk: 1\n": "f:1: ",
+		"\tdisk: 1\n":                        "f:1: ",
+		"members:\n  listen: 127.0.0.1:1\n":  "members.name: missing",
+		among("peers: []"):                   "f:5: members.peers: 0 of them",
+		among("peers: [{name: a, addr: x}]"): "f:5: members.peers[0].addr",
+		among("peers: [{name: a, addr: \"127.0.0.1:1\"}, {name: a, addr: \"127.0.0.1:1\"}]"): "f:5: members.peers[1].name",
+		among("peers: [{name: a, addr: \"127.0.0.1:1\"}]\n  rate_bytes_per_s: 5"):            "f:6: members.rate_bytes_per_s",
+		"members:\n  name: n\n  listen: 0.0.0.0:7000\n  key_file: /k\n":                      "f:3: members.listen",
+		"members:\n  name: n\n  listen: 127.0.0.1:1\n  key_file: k\n":                        "f:4: members.key_file",
 	} {
 		if _, err := Parse("f", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v, want %q", text, err, want)
@@ -42,12 +49,17 @@
 	return "gateway:\n  name: n\n  site: north\n  listen: 127.0.0.1:1\n  cert: c\n  key: k\n  ca: a\n  " + more + "\n"
 }
 
+// among is a part of members with all that must be there but its peers.
+func among(more string) string {
+	return "members:\n  name: n\n  listen: 127.0.0.1:1\n  key_file: /k\n  " + more + "\n"
+}
+
 func TestAbsentAndEmptyMeanOff(t *testing.T) {
 	t.Chdir(t.TempDir())
 	none := func(string) string { return "" }
 	for _, text := range []string{"", "# nothing\n", "---\n", "{}\n"} {
 		c, err := Parse("f", []byte(text))
-		if err != nil || c.Disk != nil || c.Metrics != nil {
+		if err != nil || c.Disk != nil || c.Metrics != nil || c.Members != nil {
 			t.Errorf("%q: %+v, %v", text, c, err)
 		}
 	}
--- a/internal/referee/referee_test.go
+++ b/internal/referee/referee_test.go
@@ -19,6 +19,7 @@
 	taken := func(rule string) *e {
 		return entry(0, "taken", e{Rule: rule, Object: "o", Group: 3, Deadline: 1000 * ms})
 	}
+	takenLong := entry(0, "taken", e{Rule: "read", Object: "o", Group: 3, Deadline: 20 * second})
 	sent := func(at int64, hop int, server, source string) *e {
 		return entry(at, "sent", e{Hop: hop, Server: server, Source: source})
 	}
@@ -28,6 +29,8 @@
 		return entry(at, "final", e{Outcome: outcome, Issued: issued * ms})
 	}
 	told := func(at int64, server, state string) *e { return entry(at, "told", e{Server: server, State: state}) }
+	stop := func(at int64) *e { return entry(at, "router_stopped", e{}) }
+	wake := func(at int64) *e { return entry(at, "router_woken", e{}) }
 	for name, c := range map[string]struct {
 		rule  int
 		lines []*e
@@ -66,6 +69,17 @@
 			end(410, 0, "done"), final(410, "completed", 89)}},
 		"given out since": {0, []*e{entry(100, "told_purge", e{Object: "o", Until: 90 * ms}), taken("read"), sent(401, 0, "a", "o"),
 			end(410, 0, "done"), final(410, "completed", 90)}},
+		"due while it stood still":        {0, []*e{taken("read"), stop(500), entry(1010, "left", e{})}},
+		"answered as it woke":             {0, []*e{taken("read"), stop(500), wake(2000), final(2200, "aborted", 0)}},
+		"answered long after it woke":     {1, []*e{taken("read"), stop(500), wake(2000), final(2301, "aborted", 0)}},
+		"due after it woke":               {1, []*e{taken("read"), stop(100), wake(600), entry(1010, "left", e{})}},
+		"stood still before":              {1, []*e{stop(-900), wake(-400), taken("read"), final(1009, "aborted", 0)}},
+		"drained while it stood, in time": {0, []*e{stop(-100), told(0, "a", "leaving"), wake(700), takenLong, sent(1200, 0, "a", "o"), final(1201, "rejected", 0)}},
+		"drained while it stood":          {3, []*e{stop(-100), told(0, "a", "leaving"), wake(700), taken("read"), sent(1201, 0, "a", "o")}},
+		"never told, woken": {0, []*e{entry(0, "listed", e{Server: "a", State: "left"}), stop(5000), wake(9000), takenLong, sent(9400, 0, "a", "o"),
+			final(9401, "rejected", 0)}},
+		"purged while it stood": {5, []*e{stop(50), entry(100, "told_purge", e{Object: "o", Until: 90 * ms}), wake(400), taken("read"), sent(701, 0, "a", "o"),
+			end(710, 0, "done"), final(710, "completed", 89)}},
 		"another group": {0, []*e{entry(100, "told_purge", e{Group: 4, Until: 90 * ms}), taken("read"), sent(401, 0, "a", "o"),
 			end(410, 0, "done"), final(410, "completed", 89)}},
 	} {
--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -12,9 +12,9 @@
 	// least is what counts as standing still: five ticks, more than a busy core
 	// keeps a goroutine waiting.
 	least = 100_000
-	// after is how long after it what is read may have waited meanwhile: all that
+	// After is how long after it what is read may have waited meanwhile: all that
 	// is in the sockets' buffers is read by then.
-	after = 100_000
+	After = 100_000
 )
 
 // Watch remembers when the process stood still last. Its zero is not ready: call
@@ -46,7 +46,7 @@
 		return 0
 	case now-w.last > least: // reading is ahead of the first tick
 		return now - w.last
-	case w.gap > 0 && now-w.woke < after:
+	case w.gap > 0 && now-w.woke < After:
 		return w.gap + now - w.woke
 	}
 	return 0
