--- a/cmd/quilldoor-lab/members.go
+++ b/cmd/quilldoor-lab/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"quilldoor/internal/emulate"
 	"quilldoor/internal/roster"
 )
 
@@ -50,6 +51,29 @@
 	return c
 }
 
+// processesCommand does the same with router processes on loopback.
+func processesCommand() *cobra.Command {
+	var routers, kills int
+	var seed uint64
+	var router string
+	c := &cobra.Command{Use: "members-processes", Short: "How soon the death of a real router process is known by all others", Args: cobra.NoArgs}
+	f := c.Flags()
+	f.IntVar(&routers, "routers", 24, "processes")
+	f.IntVar(&kills, "kills", 30, "killed one after another")
+	f.Uint64Var(&seed, "seed", 1, "of whom and when")
+	f.StringVar(&router, "router", "", "the router's program; else quilldoor beside this one")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		times, missed, err := emulate.Detection(c.Context(), router, routers, kills, seed)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%d processes, %d killed: known dead by all after p50 %d, p90 %d, p99 %d, most %d ms; missed %d\n", routers, kills,
+			times.ValueAtQuantile(50)/1000, times.ValueAtQuantile(90)/1000, times.ValueAtQuantile(99)/1000, times.Max()/1000, missed)
+		return nil
+	}
+	return c
+}
+
 func row(w *tabwriter.Writer, n int, name string, beats bool, seeds, kills int, hold time.Duration, loss float64) {
 	var times, half, back *roster.Times
 	var heal roster.Heal
--- a/cmd/quilldoor/members_test.go
+++ b/cmd/quilldoor/members_test.go
@@ -1,9 +1,18 @@
 package main
 
 import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"quilldoor/internal/emulate"
+	"quilldoor/internal/script"
 )
 
 // Six real routers that know each other, under load, while some of them fail or are
@@ -89,3 +98,69 @@
 		})
 	}
 }
+
+// Membership is refused where the settings forbid talk among routers, and a person
+// asks a running router with its own command.
+func TestMembersCommand(t *testing.T) {
+	dir := t.TempDir()
+	key := filepath.Join(dir, "key")
+	os.WriteFile(key, []byte("a key of sixteen bytes"), 0o600)
+	var procs []*exec.Cmd
+	var files []string
+	addr := func(i int) string { return fmt.Sprintf("127.80.1.%d:7711", i+1) }
+	start := func(i int, permit bool) (*exec.Cmd, *strings.Builder) {
+		s := script.Default()
+		s.Fleet.Members = permit
+		text, _ := json.Marshal(map[string]any{"name": fmt.Sprint("n", i), "listen": fmt.Sprintf("127.80.1.%d:8811", i+1), "seed": "1", "board": "127.0.0.1:1",
+			"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256}, "settings": s.Settings(0, 0), "known": json.RawMessage(`{"rev":0,"notices":[]}`)})
+		config := filepath.Join(dir, fmt.Sprint("n", i, ".json"))
+		os.WriteFile(config, text, 0o600)
+		own := fmt.Sprintf("members:\n  name: n%d\n  listen: %s\n  key_file: %s\n  peers: [{name: n0, addr: \"%s\"}, {name: n1, addr: \"%s\"}]\n", i, addr(i), key, addr(0), addr(1))
+		file := filepath.Join(dir, fmt.Sprint("n", i, ".yaml"))
+		os.WriteFile(file, []byte(own), 0o600)
+		files = append(files, file)
+		cmd := exec.Command(os.Args[0], "serve", "--config", config, "--operator", file)
+		cmd.Env = append(os.Environ(), "QUILLDOOR_TEST_MAIN=1")
+		out := new(strings.Builder)
+		cmd.Stderr = out
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return cmd, out
+	}
+	cmd, out := start(0, false)
+	if err := cmd.Wait(); err == nil || !strings.Contains(out.String(), "settings.Limits.PeerMessages") {
+		t.Fatalf("forbidden, and it runs: %v, %s", err, out)
+	}
+	files = nil
+	for i := range 2 {
+		cmd, _ := start(i, true)
+		procs = append(procs, cmd)
+		defer func() { cmd.Process.Kill(); cmd.Wait() }()
+	}
+	ask := func(args ...string) string {
+		cmd := exec.Command(os.Args[0], append([]string{"members", "--operator", files[0]}, args...)...)
+		cmd.Env = append(os.Environ(), "QUILLDOOR_TEST_MAIN=1")
+		out, _ := cmd.CombinedOutput()
+		return string(out)
+	}
+	wait := func(what string, args ...string) {
+		t.Helper()
+		last := ""
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			if last = ask(args...); strings.Contains(last, what) {
+				return
+			}
+		}
+		t.Fatalf("%v: no %q in\n%s", args, what, last)
+	}
+	wait("2 of 2 routers reachable")
+	wait("all that answered agree", "--matrix")
+	if text := ask("--json"); !json.Valid([]byte(text)) {
+		t.Errorf("no JSON: %s", text)
+	}
+	// A planned end is told, and is no failure.
+	procs[1].Process.Signal(syscall.SIGTERM)
+	wait("leaving")
+	wait(" left ")
+}
