Let routers decide by each other: news of others' boards, limits by the living

Change: internal/news takes drains, ends, new births and purges from two others in an order without numbers, for 7 s at a time; the module hears of the location's living routers (EvPeers): its part of the limits follows them, cold servers get nothing in the first window of a life. Budgets stay even shares.

--- a/cmd/quilldoor/members.go
+++ b/cmd/quilldoor/members.go
@@ -8,11 +8,13 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"quilldoor/internal/memberlink"
 	"quilldoor/internal/members"
+	"quilldoor/internal/news"
 	"quilldoor/internal/operator"
 )
 
@@ -32,7 +34,10 @@
 	for _, p := range o.Peers {
 		set.Seeds = append(set.Seeds, members.Seed{Name: p.Name, Addr: netip.MustParseAddrPort(p.Addr)})
 	}
-	r.members, err = memberlink.Start(set, key, netip.MustParseAddrPort(o.Listen), r.log)
+	s := c.Settings.Logic()
+	r.peers = &peers{router: r, book: news.New(news.Settings{Keep: s.Family.PurgeDone + c.Limits.LongestTxn.Microseconds()}),
+		start: time.Now(), hold: clock() + s.Contract.FallFor, told: -1}
+	r.members, err = memberlink.Start(set, key, netip.MustParseAddrPort(o.Listen), r.peers, r.log)
 	return err
 }
 
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -41,6 +41,7 @@
 	gate    *gateway.Gateway
 	keys    *gateway.Keys
 	members *memberlink.Link // nil: off
+	peers   *peers           // what is decided by it; nil: off
 	host    *host
 	limit   *config.Limits
 	kick    chan struct{}
@@ -267,8 +268,16 @@
 	})
 }
 
-// Members takes changes of the list of servers.
+// Members takes changes of the list of servers from the board.
 func (r *router) Members(scope string, list []core.Server) {
+	if r.peers != nil {
+		list = r.peers.board(scope, list)
+	}
+	r.listed(scope, list)
+}
+
+// listed applies changes of the list.
+func (r *router) listed(scope string, list []core.Server) {
 	r.up.Retire(r.core.Members(clock(), scope, list))
 	for _, s := range list {
 		r.log.WithFields(logrus.Fields{"server": s.Server, "endpoint": s.Endpoint, "zone": s.Zone, "kind": s.Kind,
@@ -281,8 +290,16 @@
 	}
 }
 
-// Purge takes a purge.
+// Purge takes a purge from the board.
 func (r *router) Purge(object string, group, at int64) {
+	if r.peers != nil {
+		r.peers.purged(object, group, at)
+	}
+	r.taken(object, group, at)
+}
+
+// taken takes a purge from the board, or from a router of this site.
+func (r *router) taken(object string, group, at int64) {
 	if r.host != nil {
 		r.host.purges.add(object, group, at)
 	}
--- a/internal/emulate/members.go
+++ b/internal/emulate/members.go
@@ -10,9 +10,11 @@
 	"slices"
 	"time"
 
+	"quilldoor/internal/core"
 	"quilldoor/internal/frames"
 	"quilldoor/internal/memberlink"
 	"quilldoor/internal/members"
+	"quilldoor/internal/news"
 	"quilldoor/internal/operator"
 	"quilldoor/internal/roster"
 	"quilldoor/internal/script"
@@ -118,6 +120,7 @@
 		return members.New(members.Settings{Name: h.Name, Place: script.Zone(v.world.Office(h.ID)), Addr: roster.Addr(h.ID),
 			Seeds: roster.Seeds(count), Life: 1}, rand.New(rand.NewPCG(v.opt.Seed, uint64(h.ID)<<32|r.starts)), now)
 	})
+	v.roster.Mail = mailer{v}
 	for i := range count {
 		v.roster.Start(i)
 	}
@@ -140,6 +143,65 @@
 	v.world.After(lookEvery, look)
 }
 
+// longest is the longest time limit of the rules.
+const longest = 5_000_000
+
+// mailer is what virtual routers do with what they know, as the router does it.
+type mailer struct{ *virtual }
+
+func (m mailer) Tag(h *roster.Host) uint32 { return m.routers[h.ID].book.Tag() }
+
+func (m mailer) Letter(h *roster.Host, l members.Letter) [][]byte {
+	r := m.routers[h.ID]
+	t := r.book.Letter(m.now(), m.now(), l.From, l.Tag, l.Body, memberlink.MostBody)
+	m.apply(r, t.Servers)
+	for _, p := range t.Purges {
+		r.core.Purge(m.now(), p.Object, p.Group, p.At)
+	}
+	m.settle()
+	return t.Back
+}
+
+func (m mailer) apply(r *vrouter, list []news.Server) {
+	if len(list) > 0 {
+		r.core.Members(m.now(), "diff", coreServers(list))
+	}
+}
+
+func (m mailer) Tick(h *roster.Host) {
+	r, n := m.routers[h.ID], h.Speaker.(*members.Node)
+	s, living := n.Standing(), n.Living(script.Zone(m.world.Office(h.ID)))
+	r.book.Alone(s.Known < 3)
+	m.apply(r, r.book.Tick(m.now(), m.now()))
+	if !s.Majority {
+		living = 0
+	}
+	if living != r.told {
+		r.told = living
+		r.core.Peers(m.now(), living, r.hold)
+	}
+	m.settle()
+}
+
+// known passes what the board tells, with what other routers know better.
+func (v *virtual) known(r *vrouter, whole bool, list []core.Server) []core.Server {
+	if r.book == nil {
+		return list
+	}
+	out := make([]news.Server, len(list))
+	for i, s := range list {
+		out[i] = news.Server{Entry: s.Entry, Endpoint: s.Endpoint}
+	}
+	return coreServers(r.book.Board(v.now(), whole, out))
+}
+
+func coreServers(list []news.Server) (out []core.Server) {
+	for _, s := range list {
+		out = append(out, core.Server{Entry: s.Entry, Endpoint: s.Endpoint})
+	}
+	return out
+}
+
 // ---- On sockets ----
 
 // membersKey is that of a run's routers.
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -9,6 +9,7 @@
 
 	"quilldoor/internal/core"
 	"quilldoor/internal/crossing"
+	"quilldoor/internal/news"
 	"quilldoor/internal/record"
 	"quilldoor/internal/referee"
 	"quilldoor/internal/roster"
@@ -85,6 +86,10 @@
 	gate   *crossing.Gate   // nil: its site is alone
 	from   map[string]*vtxn // txns that it has handed over
 
+	book *news.Book // nil: routers don't know each other
+	told int        // living routers of the location that the module was told of
+	hold int64
+
 	stopped   bool
 	held      []func() // what waits for it to go on
 	stoppedAt int64
@@ -194,7 +199,10 @@
 	})
 	r.core = self
 	v.join(r)
-	r.core.Members(v.now(), "disk", servers(known))
+	if v.set.Fleet.Members {
+		r.book, r.told, r.hold = news.New(news.Settings{Keep: int64(v.set.Fleet.ClearedMS*1000) + longest}), -1, v.now()+set.Contract.FallFor
+	}
+	r.core.Members(v.now(), "disk", v.known(r, true, servers(known)))
 	v.run(r)
 }
 
@@ -409,10 +417,13 @@
 		if r.gate != nil {
 			v.purges[router] = append(v.purges[router], n)
 		}
+		if r.book != nil {
+			r.book.Purged(v.now(), news.Purge{Object: n.Object, Group: n.Group, At: n.At + epoch})
+		}
 		r.core.Purge(v.now(), n.Object, n.Group, n.At+epoch)
 		return
 	}
-	r.core.Members(v.now(), "diff", servers(n.Servers))
+	r.core.Members(v.now(), "diff", v.known(r, false, servers(n.Servers)))
 }
 
 // Down kills a router.
--- a/internal/memberlink/link.go
+++ b/internal/memberlink/link.go
@@ -46,19 +46,31 @@
 	done  chan struct{}
 	all   sync.WaitGroup
 
+	reader   Reader
+	place    string
 	mu       sync.Mutex
 	node     *members.Node
 	majority bool
 }
 
+// Reader is a subsystem that speaks to its like at other routers.
+type Reader interface {
+	Tag() uint32                                                 // of what it knows, for all words
+	Letter(from string, tag uint32, body []byte) (back [][]byte) // body nil: only the tag came
+	Tick(s members.Standing, living int)                         // at every wake-up
+}
+
+// MostBody is how long a letter's body may be.
+const MostBody = 1000
+
 // Start opens the socket and begins to look for the others.
-func Start(set members.Settings, key []byte, listen netip.AddrPort, log *logrus.Entry) (*Link, error) {
+func Start(set members.Settings, key []byte, listen netip.AddrPort, reader Reader, log *logrus.Entry) (*Link, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
 		return nil, fmt.Errorf("members.listen: %w", err)
 	}
 	set.Addr, set.Life, set.Most = listen, uint32(time.Now().Unix()), 1200
-	l := &Link{key: key, conn: conn, log: log, start: time.Now(), done: make(chan struct{})}
+	l := &Link{key: key, conn: conn, log: log, start: time.Now(), done: make(chan struct{}), reader: reader, place: set.Place}
 	// Two processes of one name must not draw alike: this seed is not the configured one.
 	l.node = members.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), l.now())
 	l.all.Go(l.read)
@@ -82,7 +94,11 @@
 		now := l.now()
 		next, out, news := l.node.Run(now)
 		stood := l.node.Standing()
+		living := l.node.Living(l.place)
 		l.mu.Unlock()
+		if l.reader != nil {
+			l.reader.Tick(stood, living)
+		}
 		l.send(out)
 		l.tell(news, stood)
 		timer.Reset(time.Duration(next-l.now()) * time.Microsecond)
@@ -112,9 +128,29 @@
 			continue
 		}
 		l.mu.Lock()
+		if l.reader != nil {
+			l.node.Tag(l.reader.Tag())
+		}
 		out := l.node.Heard(l.now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), w)
+		letters := l.node.Letters()
 		l.mu.Unlock()
 		l.send(out)
+		l.deliver(letters)
+	}
+}
+
+// deliver hands letters to the reader and posts what it says back.
+func (l *Link) deliver(letters []members.Letter) {
+	if l.reader == nil {
+		return
+	}
+	for _, x := range letters {
+		for _, body := range l.reader.Letter(x.From, x.Tag, x.Body) {
+			l.mu.Lock()
+			out := l.node.Post(x.From, body)
+			l.mu.Unlock()
+			l.send(out)
+		}
 	}
 }
 
--- a/internal/memberlink/link_test.go
+++ b/internal/memberlink/link_test.go
@@ -44,7 +44,7 @@
 	for k, a := range addrs {
 		set.Seeds = append(set.Seeds, members.Seed{Name: fmt.Sprint("n", k), Addr: a})
 	}
-	l, err := Start(set, key, addrs[i], quiet())
+	l, err := Start(set, key, addrs[i], nil, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/members/hear.go
+++ b/internal/members/hear.go
@@ -65,6 +65,10 @@
 		n.rumour(&w.Rumours[i], w.Kind == Tell)
 	}
 	n.kinds(m, w)
+	const mostLetters = 64
+	if len(n.letters) < mostLetters && (w.Kind == Ack || w.Kind == Ping || w.Kind == Mail) {
+		n.letters = append(n.letters, Letter{m.name, w.Tag, w.Body})
+	}
 	return n.take()
 }
 
--- a/internal/members/node.go
+++ b/internal/members/node.go
@@ -81,6 +81,8 @@
 	stood   Standing
 	out     []Out
 	news    []Change
+	letters []Letter
+	tag     uint32
 	Counts  Counts
 }
 
@@ -212,14 +214,35 @@
 	}
 	if k != Hello {
 		w.Life = m.id
-		if k != Tell && k != Compare {
+		if k != Tell && k != Compare && k != Mail {
 			w.Rumours = n.ride(m)
 		}
 	}
+	w.Tag = n.tag
 	n.Counts.Sent++
 	n.out = append(n.out, Out{m.name, m.addr, &w})
 }
 
+// Tag sets what words say of the router's news.
+func (n *Node) Tag(tag uint32) { n.tag = tag }
+
+// Post sends a body to a router that is there.
+func (n *Node) Post(to string, body []byte) []Out {
+	m := n.members[to]
+	if m == nil || m.state.gone() || n.self.State == Doubled || n.self.State == Left || len(body) > n.set.Most-headBytes {
+		return nil
+	}
+	n.send(m, Mail, Word{Body: body})
+	return n.take()
+}
+
+// Letters are those that have come since it was called last, all of them fresh and
+// to this very life.
+func (n *Node) Letters() (list []Letter) {
+	list, n.letters = n.letters, nil
+	return list
+}
+
 // ride picks rumours for a word: first what is held of the one who is spoken to, if
 // that is bad, then those that have ridden least. Bytes are bounded for each word
 // and over time.
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -107,6 +107,20 @@
 	return v
 }
 
+// Living counts the routers of a place that live and mean to stay, oneself among
+// them.
+func (n *Node) Living(place string) (living int) {
+	if n.self.Place == place && n.self.State == Alive {
+		living++
+	}
+	for _, m := range n.members {
+		if m.place == place && (m.state == Alive || m.state == Suspected) {
+			living++
+		}
+	}
+	return living
+}
+
 // State is what is held of a router now.
 func (n *Node) State(name string) State {
 	if name == n.self.Name {
--- a/internal/members/word.go
+++ b/internal/members/word.go
@@ -22,7 +22,8 @@
 	Tell                    // members as the sender holds them
 	Query                   // of a tool: answered by View, to where it came from
 	Viewed
-	lastKind = Viewed
+	Mail     // Body, of other subsystems
+	lastKind = Mail
 )
 
 // Word is what routers say. Fields that a newer version adds are passed over,
@@ -39,6 +40,16 @@
 	Buckets []uint32 `cbor:"9,keyasint,omitempty"`
 	Rumours []Rumour `cbor:"10,keyasint,omitempty"`
 	View    *View    `cbor:"11,keyasint,omitempty"`
+	Tag     uint32   `cbor:"12,keyasint,omitempty"` // of the sender's news
+	Body    []byte   `cbor:"13,keyasint,omitempty"`
+}
+
+// Letter is what another router has said to other subsystems than this one: its
+// tag, and a body or none.
+type Letter struct {
+	From string
+	Tag  uint32
+	Body []byte
 }
 
 // Rumour is what is said of a router.
--- /dev/null
+++ b/internal/news/news.go
@@ -0,0 +1,525 @@
+// Package news decides what a router takes from others of what their notice boards
+// have told, while its own is late or cut off: servers that drain or are gone, new
+// starts, purges. It does no I/O and has no clock of its own.
+//
+// Boards number their events anew for each router, so that two routers' numbers
+// can't be compared. What can is put in an order that needs none: a later birth of
+// a server goes before an earlier one, within a birth gone before draining before
+// ready, the latest purge before earlier ones. Taking news in any order, twice or
+// late then comes to the same (a join of states; Shapiro and others 2011), and
+// never goes backwards. What only the own board may say is that a server drains no
+// longer.
+package news
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quilldoor/logic"
+)
+
+// Server is a line of the list with its address.
+type Server struct {
+	logic.Entry
+	Endpoint string
+}
+
+// Purge is of an object, or of a group where that is "". At is Unix microseconds.
+type Purge struct {
+	Object string
+	Group  int64
+	At     int64
+}
+
+// Settings of a router's book. Times are microseconds.
+type Settings struct {
+	Keep int64 // how long a purge binds: servers have dropped what is older by then
+
+	wrong wrong
+}
+
+// wrong switches guards off. Only tests set it.
+type wrong struct {
+	oneWitness bool // what a single router says is taken
+	backwards  bool // what is heard last counts
+	forever    bool // what others say outlasts them
+}
+
+const (
+	second = int64(1_000_000)
+	// claimFor is how long what others say of a server binds without being said
+	// again: so long the platform gives a board to tell.
+	claimFor = 7 * second
+	// goneFor is how long the end of a server is kept as news.
+	goneFor = 120 * second
+	// witnesses is how many others must say so: a router that holds all servers
+	// gone by a fault of its own empties no other one's list.
+	witnesses = 2
+	// ahead is by how much another's clock may be in front of the own.
+	ahead      = 2 * second
+	mostPurges = 4096
+	mostList   = 20_000
+	buckets    = 16
+	askEvery   = second / 2
+	settled    = second // differences within it are boards on their way
+)
+
+// rank orders what is told of one birth.
+func rank(state string) uint8 {
+	switch state {
+	case "active":
+		return 0
+	case "leaving":
+		return 1
+	}
+	return 2
+}
+
+// line is what is held of a server.
+type line struct {
+	own    Server // as the own board has it
+	goneAt int64  // when the own board told of its end
+	claim  claim  // that binds: others have it further on than the own board
+	next   claim  // further on still, and short of witnesses
+}
+
+// claim is what others say. No server: there is none.
+type claim struct {
+	Server
+	by    [witnesses]string
+	until int64
+}
+
+// Book is a router's.
+type Book struct {
+	set     Settings
+	servers map[string]*line
+	purges  map[purgeKey]int64
+	digests [buckets]uint32
+	changed int64 // when the own board or the others told something last
+	asked   int64
+	alone   bool // fewer than two others are known: one is enough
+	Counts  Counts
+}
+
+type purgeKey struct {
+	object string
+	group  int64
+}
+
+// Counts are totals.
+type Counts struct{ Asked, Answered, Bound, Lapsed, Purges, Refused int64 }
+
+// New opens a book.
+func New(s Settings) *Book {
+	return &Book{set: s, servers: map[string]*line{}, purges: map[purgeKey]int64{}}
+}
+
+// Alone says whether there are not two others to be witnesses.
+func (b *Book) Alone(is bool) { b.alone = is }
+
+// further tells whether a is later news of a server than o.
+func further(a, o Server) bool {
+	return cmp.Or(cmp.Compare(a.Born, o.Born), cmp.Compare(rank(a.State), rank(o.State))) > 0
+}
+
+// Board takes what the own board tells, whole: it names all there are. What others
+// claim of a server goes on binding over it. It returns the list to be applied.
+func (b *Book) Board(now int64, whole bool, list []Server) []Server {
+	b.changed = now
+	if whole {
+		named := map[string]bool{}
+		for _, s := range list {
+			named[s.Server] = true
+		}
+		for id, l := range b.servers {
+			if !named[id] && l.own.State != "left" {
+				l.own.State, l.goneAt = "left", now
+			}
+		}
+	}
+	out := make([]Server, 0, len(list))
+	for _, s := range list {
+		l := b.servers[s.Server]
+		if l == nil {
+			if len(b.servers) >= mostList {
+				out = append(out, s)
+				continue
+			}
+			l = &line{own: s}
+			b.servers[s.Server] = l
+		}
+		undrains := s.Born == l.own.Born && rank(s.State) < rank(l.own.State)
+		if l.own = s; s.State == "left" {
+			l.goneAt = now
+		}
+		for _, c := range []*claim{&l.claim, &l.next} {
+			if undrains || c.Server.Server != "" && !further(c.Server, s) { // the own board has caught up, or knows better
+				*c = claim{}
+			}
+		}
+		out = append(out, l.effective())
+	}
+	b.digest(now)
+	return out
+}
+
+// effective is what is applied of a server.
+func (l *line) effective() Server {
+	if l.claim.Server.Server != "" {
+		return l.claim.Server
+	}
+	return l.own
+}
+
+// Purged takes a purge of the own board's.
+func (b *Book) Purged(now int64, p Purge) {
+	b.changed = now
+	b.purge(p)
+	b.digest(now)
+}
+
+func (b *Book) purge(p Purge) (fresh bool) {
+	key := purgeKey{p.Object, p.Group}
+	if p.At <= b.purges[key] {
+		return false
+	}
+	if _, is := b.purges[key]; !is && len(b.purges) >= mostPurges {
+		oldest, at := key, int64(math.MaxInt64)
+		for k, v := range b.purges {
+			if v < at || v == at && (k.object < oldest.object || k.object == oldest.object && k.group < oldest.group) {
+				oldest, at = k, v
+			}
+		}
+		delete(b.purges, oldest)
+	}
+	b.purges[key] = p.At
+	return true
+}
+
+// Told takes another router's news and returns what is to be applied. Births and
+// purges are by the wall's clock, all else by a steady one.
+func (b *Book) Told(now, wall int64, from string, t *Tell) (servers []Server, purges []Purge) {
+	for _, x := range t.Purges {
+		p := Purge{x.Object, x.Group, x.At}
+		if p.At > wall+ahead || p.At < wall-b.set.Keep {
+			b.Counts.Refused++
+			continue
+		}
+		if b.purge(p) {
+			b.Counts.Purges++
+			purges = append(purges, p)
+		}
+	}
+	for i := range t.Servers {
+		if s := t.Servers[i].server(); b.claimed(now, wall, from, s) {
+			servers = append(servers, b.servers[s.Server].claim.Server)
+		}
+	}
+	if len(servers)+len(purges) > 0 {
+		b.changed = now
+		b.digest(now)
+	}
+	return servers, purges
+}
+
+// claimed takes what another says of a server; true: from now on it binds.
+func (b *Book) claimed(now, wall int64, from string, s Server) bool {
+	if s.Server == "" || s.State != "active" && s.State != "leaving" && s.State != "left" || s.Born > wall+ahead {
+		b.Counts.Refused++
+		return false
+	}
+	// Who is new is only taken from the own board: without it nothing is sent there,
+	// and its address may be another for each router.
+	l := b.servers[s.Server]
+	if l == nil || !further(s, l.own) && !b.set.wrong.backwards {
+		return false
+	}
+	s.Endpoint = l.own.Endpoint
+	if c := &l.claim; c.Server.Server != "" && !further(s, c.Server) && !b.set.wrong.backwards {
+		if !further(c.Server, s) {
+			c.until = now + claimFor // said again
+		}
+		return false
+	}
+	c := &l.next
+	switch {
+	case c.Server.Server == "" || further(s, c.Server) || b.set.wrong.backwards:
+		*c = claim{Server: s, by: [witnesses]string{from}}
+	case further(c.Server, s): // older than what others say
+		return false
+	case !slices.Contains(c.by[:], from):
+		c.by[slices.Index(c.by[:], "")] = from
+	}
+	c.until = now + claimFor
+	if !b.alone && !b.set.wrong.oneWitness && slices.Contains(c.by[:], "") {
+		return false
+	}
+	l.claim, l.next = *c, claim{}
+	b.Counts.Bound++
+	return true
+}
+
+// Tick ends claims that nobody has said again, and purges that bind no more. It
+// returns what is to be applied in their place.
+func (b *Book) Tick(now, wall int64) (servers []Server) {
+	for _, id := range b.ids() {
+		l := b.servers[id]
+		if l.own.State == "left" && now-l.goneAt > goneFor {
+			delete(b.servers, id)
+			continue
+		}
+		if b.set.wrong.forever {
+			continue
+		}
+		if l.next.until <= now {
+			l.next = claim{}
+		}
+		if l.claim.until <= now && l.claim.Server.Server != "" {
+			l.claim = claim{}
+			b.Counts.Lapsed++
+			servers = append(servers, l.own)
+		}
+	}
+	for k, at := range b.purges {
+		if wall-at > b.set.Keep {
+			delete(b.purges, k)
+		}
+	}
+	b.digest(now)
+	return servers
+}
+
+func (b *Book) ids() (list []string) {
+	for id := range b.servers {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// ---- Comparing ----
+
+func (s *Server) print() uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(s.Server))
+	h.Write([]byte{rank(s.State), byte(s.Born), byte(s.Born >> 8), byte(s.Born >> 16), byte(s.Born >> 24), byte(s.Born >> 32), byte(s.Born >> 40)})
+	return h.Sum32()
+}
+
+func (k purgeKey) print(at int64) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(k.object))
+	h.Write([]byte{'p', byte(k.group), byte(at), byte(at >> 8), byte(at >> 16), byte(at >> 24), byte(at >> 32), byte(at >> 40)})
+	return h.Sum32()
+}
+
+func bucket(text string) int {
+	h := fnv.New32a()
+	h.Write([]byte(text))
+	return int(h.Sum32() % buckets)
+}
+
+func (k purgeKey) bucket() int { return bucket(k.object + string(rune(k.group))) }
+
+// digest makes the digests anew: what is gone is in none, since some have
+// forgotten it.
+func (b *Book) digest(int64) {
+	b.digests = [buckets]uint32{}
+	for id, l := range b.servers {
+		if s := l.effective(); s.State == "active" || s.State == "leaving" {
+			b.digests[bucket(id)] ^= s.print()
+		}
+	}
+	for k, at := range b.purges {
+		b.digests[k.bucket()] ^= k.print(at)
+	}
+}
+
+// Tag is the digest of all, which words to the others carry.
+func (b *Book) Tag() (tag uint32) {
+	for i, d := range b.digests {
+		tag ^= d * uint32(2*i+1)
+	}
+	return tag
+}
+
+// Differs tells whether to ask a router that has this tag: where it is another than
+// the own, but not while boards may still be on their way; where what others have
+// said is to be said again; and not often.
+func (b *Book) Differs(now int64, tag uint32) bool {
+	if now-b.asked < askEvery || !b.renews(now) && (tag == b.Tag() || now-b.changed < settled) {
+		return false
+	}
+	b.asked = now
+	b.Counts.Asked++
+	return true
+}
+
+// Ask is a question: tell where our digests differ.
+type Ask struct {
+	Digests []uint32 `cbor:"1,keyasint"`
+}
+
+// Tell is an answer, a piece of it.
+type Tell struct {
+	Servers []wireServer `cbor:"1,keyasint,omitempty"`
+	Purges  []wirePurge  `cbor:"2,keyasint,omitempty"`
+}
+
+type wireServer struct {
+	ID       string  `cbor:"1,keyasint"`
+	Endpoint string  `cbor:"2,keyasint,omitempty"`
+	Zone     string  `cbor:"3,keyasint,omitempty"`
+	Kind     string  `cbor:"4,keyasint,omitempty"`
+	Cell     int     `cbor:"5,keyasint,omitempty"`
+	State    string  `cbor:"6,keyasint"`
+	Weight   float64 `cbor:"7,keyasint,omitempty"`
+	Born     int64   `cbor:"8,keyasint,omitempty"`
+}
+
+type wirePurge struct {
+	Object string `cbor:"1,keyasint,omitempty"`
+	Group  int64  `cbor:"2,keyasint,omitempty"`
+	At     int64  `cbor:"3,keyasint"`
+}
+
+func (w *wireServer) server() Server {
+	return Server{logic.Entry{Server: w.ID, Zone: w.Zone, Kind: w.Kind, Cell: w.Cell, State: w.State, Weight: w.Weight, Born: w.Born}, w.Endpoint}
+}
+
+// renews tells whether a claim has lived for a third of its time, or wants a
+// witness.
+func (b *Book) renews(now int64) bool {
+	for _, l := range b.servers {
+		if l.next.Server.Server != "" || l.claim.Server.Server != "" && l.claim.until-now < claimFor*2/3 {
+			return true
+		}
+	}
+	return false
+}
+
+// Question is what to ask another: what differs, and what others have claimed.
+func (b *Book) Question() Ask {
+	a := Ask{slices.Clone(b.digests[:])}
+	for id, l := range b.servers {
+		if i := bucket(id); l.next.Server.Server != "" || l.claim.Server.Server != "" {
+			a.Digests[i] = ^b.digests[i]
+		}
+	}
+	return a
+}
+
+// Answer tells, in pieces of so many bytes, what the own board has told where
+// digests differ. What others have claimed is not told on: else those who have no
+// board would be each other's witnesses. Purges are, whoever told them.
+func (b *Book) Answer(a *Ask, most int) (pieces []Tell) {
+	if len(a.Digests) != buckets {
+		b.Counts.Refused++
+		return nil
+	}
+	b.Counts.Answered++
+	const mostPieces = 12
+	var t Tell
+	size := 0
+	cut := func(n int) {
+		if size+n > most {
+			pieces, t, size = append(pieces, t), Tell{}, 0
+		}
+		size += n
+	}
+	for _, id := range b.ids() {
+		l := b.servers[id]
+		if a.Digests[bucket(id)] == b.digests[bucket(id)] {
+			continue
+		}
+		s := l.own
+		cut(40 + len(id) + len(s.Endpoint) + len(s.Zone) + len(s.Kind))
+		t.Servers = append(t.Servers, wireServer{id, s.Endpoint, s.Zone, s.Kind, s.Cell, s.State, s.Weight, s.Born})
+	}
+	var keys []purgeKey
+	for k := range b.purges {
+		if a.Digests[k.bucket()] != b.digests[k.bucket()] {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(x, y purgeKey) int { // the youngest first
+		return cmp.Or(cmp.Compare(b.purges[y], b.purges[x]), cmp.Compare(x.object, y.object), cmp.Compare(x.group, y.group))
+	})
+	for _, k := range keys {
+		cut(20 + len(k.object))
+		t.Purges = append(t.Purges, wirePurge{k.object, k.group, b.purges[k]})
+	}
+	if pieces = append(pieces, t); len(pieces) > mostPieces {
+		pieces = pieces[:mostPieces]
+	}
+	return pieces
+}
+
+// Letter is what goes from one router to another: a question or an answer.
+type Letter struct {
+	Ask  *Ask  `cbor:"1,keyasint,omitempty"`
+	Tell *Tell `cbor:"2,keyasint,omitempty"`
+}
+
+var decoding = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1024, MaxMapPairs: 16, MaxNestedLevels: 6, IndefLength: cbor.IndefLengthForbidden,
+		TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err) // the options stand above
+	}
+	return m
+}()
+
+// Pack writes a letter.
+func (l *Letter) Pack() []byte {
+	b, err := cbor.Marshal(l)
+	if err != nil {
+		panic(err) // letters are made of what can be written
+	}
+	return b
+}
+
+// Read reads one; nil: it can't be used.
+func Read(b []byte) *Letter {
+	var l Letter
+	if decoding.Unmarshal(b, &l) != nil || l.Ask == nil && l.Tell == nil {
+		return nil
+	}
+	return &l
+}
+
+// Taken is what a letter brings: letters for its sender, and what is to be applied.
+type Taken struct {
+	Back    [][]byte
+	Servers []Server
+	Purges  []Purge
+}
+
+// Letter takes what another router says: its tag alone, a question or an answer.
+// Letters back are of so many bytes at most.
+func (b *Book) Letter(now, wall int64, from string, tag uint32, body []byte, most int) (t Taken) {
+	if body == nil {
+		if b.Differs(now, tag) {
+			q := b.Question()
+			t.Back = append(t.Back, (&Letter{Ask: &q}).Pack())
+		}
+		return t
+	}
+	l := Read(body)
+	switch {
+	case l == nil:
+		b.Counts.Refused++
+	case l.Ask != nil:
+		for _, piece := range b.Answer(l.Ask, most) {
+			t.Back = append(t.Back, (&Letter{Tell: &piece}).Pack())
+		}
+	default:
+		t.Servers, t.Purges = b.Told(now, wall, from, l.Tell)
+	}
+	return t
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -40,6 +40,13 @@
 	SentBytes, HeardBytes, Sent int64
 }
 
+// Mailer is what routers say to each other beside what they know of each other.
+type Mailer interface {
+	Tag(h *Host) uint32
+	Letter(h *Host, l members.Letter) (back [][]byte)
+	Tick(h *Host)
+}
+
 // Fleet is the routers and their ways.
 type Fleet struct {
 	Net   *ways.Net
@@ -48,6 +55,7 @@
 	News  func(h *Host, c members.Change) // of views, as they change
 	Spoil func(h *Host, w *members.Word)  // before it is sent; for tests
 	Make  func(h *Host, now int64) Speaker
+	Mail  Mailer // of other subsystems; nil: none
 
 	byName map[string]*Host
 	events eventHeap
@@ -213,6 +221,9 @@
 		next, out, news := h.Speaker.Run(f.Now)
 		f.news(h, news)
 		f.carry(h, out)
+		if f.Mail != nil {
+			f.Mail.Tick(h)
+		}
 		f.At(next, func() { f.run(h, life) })
 	})
 }
@@ -253,13 +264,30 @@
 					if err := cbor.Unmarshal(b, &w); err != nil {
 						panic(err)
 					}
-					f.carry(to, to.Speaker.Heard(f.Now, netip.AddrPort{}, &w))
+					f.hear(to, &w)
 				})
 			})
 		}
 	}
 }
 
+// hear takes a word, and the letters that it is or brings.
+func (f *Fleet) hear(h *Host, w *members.Word) {
+	n, mails := h.Speaker.(*members.Node)
+	if mails = mails && f.Mail != nil; mails {
+		n.Tag(f.Mail.Tag(h))
+	}
+	f.carry(h, h.Speaker.Heard(f.Now, netip.AddrPort{}, w))
+	if !mails {
+		return
+	}
+	for _, l := range n.Letters() {
+		for _, body := range f.Mail.Letter(h, l) {
+			f.carry(h, n.Post(l.From, body))
+		}
+	}
+}
+
 // Send hands words to the ways that a router says outside Run, such as when it
 // leaves.
 func (f *Fleet) Send(i int, out []members.Out) { f.carry(f.Hosts[i], out) }
--- a/logic/types.go
+++ b/logic/types.go
@@ -96,7 +96,8 @@
 	EvPurge
 	EvAnswer
 	EvAbandoned
-	EvKept // a txn that copies of the router's own answer: counted, nothing else
+	EvPeers // what is known of the other routers: Living, Hold
+	EvKept  // a txn that copies of the router's own answer: counted, nothing else
 )
 
 // Event is one thing that an instance is told.
@@ -130,6 +131,9 @@
 	Age   int64 // purge: how long ago
 	Peer  int
 	Data  []byte
+
+	Living int   // peers: routers of the location that live, itself among them; 0: not known
+	Hold   int64 // peers: when cold servers may be sent work: an earlier life may have spent its share
 }
 
 // Entry is one line of the list of servers.
