--- a/cmd/quilldoor/members_test.go
+++ b/cmd/quilldoor/members_test.go
@@ -72,6 +72,26 @@
   - {kind: cut_board, at: 7, for: 2, share: 0.34}
   - {kind: purge, at: 8, share: 0.5}
 `, 5000, false},
+		// A third has no board while caches drain, die and come back cold: the others tell it.
+		{"board cut", `
+length_s: 16
+troubles:
+  - {kind: cut_board, at: 2, for: 13, share: 0.34}
+  - {kind: deploy, at: 2.5, for: 1, every: 1, strength: 1, office: 1}
+  - {kind: die, at: 3, for: 3, share: 0.5, office: 2}
+  - {kind: preempt, at: 4, for: 3, share: 0.5, office: 3}
+  - {kind: purge, at: 5, share: 0.5}
+`, 4000, false},
+		// Three camps, while a purge, a drain and a cold office come.
+		{"camps", `
+length_s: 14
+troubles:
+  - {kind: ways_camps, at: 2, for: 8, strength: 3}
+  - {kind: office_lost, at: 3, for: 3, office: 1}
+  - {kind: purge, at: 4, share: 0.9}
+  - {kind: deploy, at: 6, for: 1, every: 0.5, strength: 1, office: 2}
+  - {kind: ways_delay, at: 10, for: 2, share: 0.17, strength: 300}
+`, 4000, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r, err := rehearse(t, fleet+c.text, emulate.Options{})
--- a/cmd/quilldoor/peers.go
+++ b/cmd/quilldoor/peers.go
@@ -62,8 +62,9 @@
 		p.book.Alone(s.Known < 3)
 		lapsed = p.book.Tick(now, clock())
 	}
-	// Who may be in the smaller part counts on no more than its part of all.
-	if !s.Majority {
+	// Who hears nobody counts on no more than its part of all. Limits are learned:
+	// both sides of a cut may count each other out.
+	if !s.Sure() {
 		living = 0
 	}
 	fresh := living != p.told
--- a/internal/emulate/members.go
+++ b/internal/emulate/members.go
@@ -173,7 +173,7 @@
 	s, living := n.Standing(), n.Living(script.Zone(m.world.Office(h.ID)))
 	r.book.Alone(s.Known < 3)
 	m.apply(r, r.book.Tick(m.now(), m.now()))
-	if !s.Majority {
+	if !s.Sure() {
 		living = 0
 	}
 	if living != r.told {
--- /dev/null
+++ b/internal/emulate/together_test.go
@@ -0,0 +1,42 @@
+package emulate
+
+import (
+	"context"
+	"testing"
+
+	"quilldoor/rehearsals"
+)
+
+// Routers whose board is cut break rules when they know nobody, and none when the
+// others tell them: what is played is the same but for that.
+func TestNewsOfOthersKeepTheRules(t *testing.T) {
+	alone := 0
+	for seed := range uint64(4) {
+		for _, know := range []bool{false, true} {
+			s, err := rehearsals.Load("board-cut-third")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Fleet.Members = know
+			r, err := Virtual(context.Background(), s, Options{Seed: seed + 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			broken := r.Count[3] + r.Count[4]
+			if !know {
+				alone += broken
+				continue
+			}
+			for _, b := range r.Breaks {
+				t.Errorf("seed %d: %v", seed+1, b)
+			}
+			if r.Fallen > 0 || r.Members.AgreedAfter < 0 || len(r.Members.DeadByAll) > 0 {
+				t.Errorf("seed %d: %d pushed over, agreed %d, called dead %v", seed+1, r.Fallen, r.Members.AgreedAfter, r.Members.DeadByAll)
+			}
+		}
+	}
+	if alone == 0 {
+		t.Error("no rule is broken by routers that know nobody: the rehearsal proves nothing")
+	}
+	t.Logf("alone: %d breaks", alone)
+}
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -121,6 +121,12 @@
 	return living
 }
 
+// Sure tells whether the living can be counted on: somebody is heard, and it is not
+// just awake or doubled.
+func (s Standing) Sure() bool {
+	return s.State == Alive && !s.Waking && s.Silence < suspectBase
+}
+
 // State is what is held of a router now.
 func (n *Node) State(name string) State {
 	if name == n.self.Name {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -248,7 +248,7 @@
 	}
 	c := &l.next
 	switch {
-	case c.Server.Server == "" || further(s, c.Server) || b.set.wrong.backwards:
+	case c.Server.Server == "" || further(s, c.Server) || b.set.wrong.backwards && s.print() != c.Server.print():
 		*c = claim{Server: s, by: [witnesses]string{from}}
 	case further(c.Server, s): // older than what others say
 		return false
