Take back what is gone by the own board only; ask others at once when they know better

And a router without board pushed over a cache that had come back, since its questions were too far apart. Change: what the own board has told to be drained or gone, it alone takes back; a claim that wants a witness is asked for within 100 ms; limits by the living are taken out of the module again, which hears of peers only when cold servers may be sent work first.

--- a/cmd/quilldoor/members.go
+++ b/cmd/quilldoor/members.go
@@ -36,7 +36,9 @@
 	}
 	s := c.Settings.Logic()
 	r.peers = &peers{router: r, book: news.New(news.Settings{Keep: s.Family.PurgeDone + c.Limits.LongestTxn.Microseconds()}),
-		start: time.Now(), hold: clock() + s.Contract.FallFor, told: -1}
+		start: time.Now()}
+	// The life before may have spent its share of cold servers' budgets until now.
+	r.core.Peers(clock(), clock()+s.Contract.FallFor)
 	r.members, err = memberlink.Start(set, key, netip.MustParseAddrPort(o.Listen), r.peers, r.log)
 	return err
 }
--- a/cmd/quilldoor/peers.go
+++ b/cmd/quilldoor/peers.go
@@ -10,16 +10,13 @@
 	"quilldoor/internal/news"
 )
 
-// peers lets the router decide by what it knows of the others: how many of its
-// location live, and what their boards have told.
+// peers lets the router decide by what the others' boards have told.
 type peers struct {
 	*router
 	start time.Time
-	hold  int64 // when cold servers may be sent work at the earliest
 
 	mu     sync.Mutex
 	book   *news.Book
-	told   int // what the module was told last; -1: nothing
 	ticked int64
 }
 
@@ -51,9 +48,9 @@
 	}
 }
 
-// Tick follows the living: the module hears of them when their number changes.
-func (p *peers) Tick(s members.Standing, living int) {
-	const every = 250_000 // of claims, microseconds
+// Tick ends what nobody has said again.
+func (p *peers) Tick(s members.Standing) {
+	const every = 250_000 // microseconds
 	p.mu.Lock()
 	now := p.now()
 	var lapsed []news.Server
@@ -62,18 +59,8 @@
 		p.book.Alone(s.Known < 3)
 		lapsed = p.book.Tick(now, clock())
 	}
-	// Who hears nobody counts on no more than its part of all. Limits are learned:
-	// both sides of a cut may count each other out.
-	if !s.Sure() {
-		living = 0
-	}
-	fresh := living != p.told
-	p.told = living
 	p.mu.Unlock()
 	p.apply(lapsed)
-	if fresh {
-		p.core.Peers(clock(), living, p.hold)
-	}
 }
 
 // board passes what the own board tells, with what others know better.
@@ -99,3 +86,10 @@
 	}
 	return out
 }
+
+// news tells the counts of the book.
+func (p *peers) news() news.Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Counts
+}
--- a/cmd/quilldoor/publish.go
+++ b/cmd/quilldoor/publish.go
@@ -119,4 +119,8 @@
 	count(c.Refuted, "members_refuted_total")
 	count(c.Deaths, "members_deaths_total")
 	count(c.Wakings, "members_wakings_total")
+	n := r.peers.news()
+	for what, v := range map[string]int64{"asked": n.Asked, "answered": n.Answered, "bound": n.Bound, "lapsed": n.Lapsed, "purges": n.Purges, "refused": n.Refused} {
+		count(v, "news_total{what=%q}", what)
+	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -190,12 +190,12 @@
 	return retired
 }
 
-// Peers takes what is known of the other routers: how many of the location live,
-// 0 where that can't be told, and when cold servers may be sent work at the earliest.
-func (c *Core) Peers(now int64, living int, hold int64) {
+// Peers says that the routers know each other, and when cold servers may be sent
+// work at the earliest.
+func (c *Core) Peers(now, hold int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handle(now, logic.Event{Kind: logic.EvPeers, Living: living, Hold: hold})
+	c.handle(now, logic.Event{Kind: logic.EvPeers, Hold: hold})
 }
 
 // Purge takes the purge of an object, or of a group where that is "", made at
--- a/internal/emulate/members.go
+++ b/internal/emulate/members.go
@@ -170,16 +170,8 @@
 
 func (m mailer) Tick(h *roster.Host) {
 	r, n := m.routers[h.ID], h.Speaker.(*members.Node)
-	s, living := n.Standing(), n.Living(script.Zone(m.world.Office(h.ID)))
-	r.book.Alone(s.Known < 3)
+	r.book.Alone(n.Standing().Known < 3)
 	m.apply(r, r.book.Tick(m.now(), m.now()))
-	if !s.Sure() {
-		living = 0
-	}
-	if living != r.told {
-		r.told = living
-		r.core.Peers(m.now(), living, r.hold)
-	}
 	m.settle()
 }
 
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -87,8 +87,6 @@
 	from   map[string]*vtxn // txns that it has handed over
 
 	book *news.Book // nil: routers don't know each other
-	told int        // living routers of the location that the module was told of
-	hold int64
 
 	stopped   bool
 	held      []func() // what waits for it to go on
@@ -200,7 +198,8 @@
 	r.core = self
 	v.join(r)
 	if v.set.Fleet.Members {
-		r.book, r.told, r.hold = news.New(news.Settings{Keep: int64(v.set.Fleet.ClearedMS*1000) + longest}), -1, v.now()+set.Contract.FallFor
+		r.book = news.New(news.Settings{Keep: int64(v.set.Fleet.ClearedMS*1000) + longest})
+		r.core.Peers(v.now(), v.now()+set.Contract.FallFor)
 	}
 	r.core.Members(v.now(), "disk", v.known(r, true, servers(known)))
 	v.run(r)
--- a/internal/memberlink/link.go
+++ b/internal/memberlink/link.go
@@ -47,7 +47,6 @@
 	all   sync.WaitGroup
 
 	reader   Reader
-	place    string
 	mu       sync.Mutex
 	node     *members.Node
 	majority bool
@@ -57,7 +56,7 @@
 type Reader interface {
 	Tag() uint32                                                 // of what it knows, for all words
 	Letter(from string, tag uint32, body []byte) (back [][]byte) // body nil: only the tag came
-	Tick(s members.Standing, living int)                         // at every wake-up
+	Tick(s members.Standing)                                     // at every wake-up
 }
 
 // MostBody is how long a letter's body may be.
@@ -70,7 +69,7 @@
 		return nil, fmt.Errorf("members.listen: %w", err)
 	}
 	set.Addr, set.Life, set.Most = listen, uint32(time.Now().Unix()), 1200
-	l := &Link{key: key, conn: conn, log: log, start: time.Now(), done: make(chan struct{}), reader: reader, place: set.Place}
+	l := &Link{key: key, conn: conn, log: log, start: time.Now(), done: make(chan struct{}), reader: reader}
 	// Two processes of one name must not draw alike: this seed is not the configured one.
 	l.node = members.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), l.now())
 	l.all.Go(l.read)
@@ -94,10 +93,9 @@
 		now := l.now()
 		next, out, news := l.node.Run(now)
 		stood := l.node.Standing()
-		living := l.node.Living(l.place)
 		l.mu.Unlock()
 		if l.reader != nil {
-			l.reader.Tick(stood, living)
+			l.reader.Tick(stood)
 		}
 		l.send(out)
 		l.tell(news, stood)
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -107,26 +107,6 @@
 	return v
 }
 
-// Living counts the routers of a place that live and mean to stay, oneself among
-// them.
-func (n *Node) Living(place string) (living int) {
-	if n.self.Place == place && n.self.State == Alive {
-		living++
-	}
-	for _, m := range n.members {
-		if m.place == place && (m.state == Alive || m.state == Suspected) {
-			living++
-		}
-	}
-	return living
-}
-
-// Sure tells whether the living can be counted on: somebody is heard, and it is not
-// just awake or doubled.
-func (s Standing) Sure() bool {
-	return s.State == Alive && !s.Waking && s.Silence < suspectBase
-}
-
 // State is what is held of a router now.
 func (n *Node) State(name string) State {
 	if name == n.self.Name {
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -7,8 +7,8 @@
 // a server goes before an earlier one, within a birth gone before draining before
 // ready, the latest purge before earlier ones. Taking news in any order, twice or
 // late then comes to the same (a join of states; Shapiro and others 2011), and
-// never goes backwards. What only the own board may say is that a server drains no
-// longer.
+// never goes backwards. What only the own board may say is that a server which it
+// has told to be drained or gone is not.
 package news
 
 import (
@@ -65,7 +65,7 @@
 	mostList   = 20_000
 	buckets    = 16
 	askEvery   = second / 2
-	settled    = second // differences within it are boards on their way
+	settled    = second / 2 // differences within it are boards on their way
 )
 
 // rank orders what is told of one birth.
@@ -158,7 +158,8 @@
 			l.goneAt = now
 		}
 		for _, c := range []*claim{&l.claim, &l.next} {
-			if undrains || c.Server.Server != "" && !further(c.Server, s) { // the own board has caught up, or knows better
+			// The own board has caught up, knows better, or says that it is not to be used.
+			if undrains || c.Server.Server != "" && (!further(c.Server, s) || c.State == "active" && s.State != "active") {
 				*c = claim{}
 			}
 		}
@@ -239,6 +240,10 @@
 	if l == nil || !further(s, l.own) && !b.set.wrong.backwards {
 		return false
 	}
+	// What the own board has told to be drained or gone, it alone takes back.
+	if s.State == "active" && l.own.State != "active" && !b.set.wrong.backwards {
+		return false
+	}
 	s.Endpoint = l.own.Endpoint
 	if c := &l.claim; c.Server.Server != "" && !further(s, c.Server) && !b.set.wrong.backwards {
 		if !further(c.Server, s) {
@@ -352,7 +357,18 @@
 // the own, but not while boards may still be on their way; where what others have
 // said is to be said again; and not often.
 func (b *Book) Differs(now int64, tag uint32) bool {
-	if now-b.asked < askEvery || !b.renews(now) && (tag == b.Tag() || now-b.changed < settled) {
+	// A new life asks at once, twice: its list may be as old as its start.
+	if b.Counts.Asked < witnesses && tag != b.Tag() {
+		b.Counts.Asked++
+		return true
+	}
+	claims, due := b.claims(now)
+	wait := askEvery
+	if due {
+		wait /= 5
+	}
+	// Once others know better than the own board, nothing is waited for.
+	if now-b.asked < wait || !due && (tag == b.Tag() || !claims && now-b.changed < settled) {
 		return false
 	}
 	b.asked = now
@@ -392,15 +408,16 @@
 	return Server{logic.Entry{Server: w.ID, Zone: w.Zone, Kind: w.Kind, Cell: w.Cell, State: w.State, Weight: w.Weight, Born: w.Born}, w.Endpoint}
 }
 
-// renews tells whether a claim has lived for a third of its time, or wants a
-// witness.
-func (b *Book) renews(now int64) bool {
+// claims tells whether others know better than the own board, and whether one of
+// them is to be asked for that: a claim wants a witness, or has lived for a third of
+// its time.
+func (b *Book) claims(now int64) (any, due bool) {
 	for _, l := range b.servers {
-		if l.next.Server.Server != "" || l.claim.Server.Server != "" && l.claim.until-now < claimFor*2/3 {
-			return true
-		}
+		next, held := l.next.Server.Server != "", l.claim.Server.Server != ""
+		any = any || next || held
+		due = due || next || held && l.claim.until-now < claimFor*2/3
 	}
-	return false
+	return any, due
 }
 
 // Question is what to ask another: what differs, and what others have claimed.
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -122,13 +122,26 @@
 			t.Fatalf("at %d s: %+v %+v", s.now/second, a, b)
 		}
 	}
-	// Its own board is back, late and in order: nothing goes backwards.
+	// Its own board is back, late and in order: nothing that is gone is used again
+	// before that board says so.
+	birth := s.view[3]["b"].Born
 	for _, x := range []news.Server{server("a", "leaving", 0), server("a", "left", 0), server("b", "left", 0)} {
 		s.board(0b1000, false, x)
-		if s.view[3]["a"].State != "left" && x.Server == "a" || s.view[3]["b"].Born == 0 {
+		if s.view[3]["a"].State != "left" && x.Server == "a" || x.Server == "b" && s.view[3]["b"].State != "left" {
 			t.Errorf("after %s %s of its board: %+v %+v", x.Server, x.State, s.view[3]["a"], s.view[3]["b"])
 		}
 	}
+	s.board(0b1000, false, server("b", "active", birth))
+	if s.view[3]["b"].State != "active" {
+		t.Errorf("its board has it back: %+v", s.view[3]["b"])
+	}
+	// What its own board has told to be gone, only that takes back.
+	s.board(all, false, server("b", "left", birth))
+	s.board(fresh, false, server("b", "active", wall+s.now))
+	s.pass(3 * second)
+	if s.view[3]["b"].State != "left" {
+		t.Errorf("back by others' word: %+v", s.view[3]["b"])
+	}
 	// An undrain is only the own board's to tell.
 	s.board(all, false, server("c", "leaving", 0))
 	s.board(0b1000, false, server("c", "active", 0))
@@ -151,6 +164,21 @@
 	}
 }
 
+// A new life that starts with an old list and without a board hears at once what
+// has become of it.
+func TestNewLifeAsksAtOnce(t *testing.T) {
+	s := cutSite("")
+	s.board(fresh, false, server("a", "left", 0))
+	s.purged(fresh, news.Purge{Group: 7, At: wall + s.now})
+	s.books[3] = news.New(news.Settings{Keep: 30 * second})
+	s.view[3], s.purge[3] = map[string]news.Server{}, map[string]int64{}
+	s.board(0b1000, true, server("a", "active", 0), server("b", "active", 0), server("c", "active", 0))
+	s.pass(300 * ms)
+	if s.view[3]["a"].State != "left" || s.purge[3]["7"] == 0 {
+		t.Errorf("after 300 ms: %+v, %v", s.view[3]["a"], s.purge[3])
+	}
+}
+
 // Wrong variants are caught; the right one passes all of it.
 func TestWrongVariants(t *testing.T) {
 	for name, trial := range map[string]func(wrong string) error{
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -541,8 +541,7 @@
 	failed         []end  // of the last hops that might fill: those that brought no answer
 	dice           uint64
 	part           float64   // this router's of its location
-	near           int       // routers of the location, as the settings have them
-	holdTill       int64     // nothing for cold servers before
+	holdTill       int64     // cold servers get nothing before
 	beyond         [3]room   // for hops that pass the caches by: they share one link in
 	values         []float64 // importance for sending time of the last txns
 	purges         []purge
@@ -585,7 +584,7 @@
 	if i := slices.Index(set.Zones, set.Zone); i >= 0 && i < len(f.ZoneBalancers) && f.ZoneBalancers[i] > 0 {
 		near = f.ZoneBalancers[i]
 	}
-	r.part, r.near = 1/float64(near), near
+	r.part = 1 / float64(near)
 	r.listCap = int(listCap * math.Sqrt(r.part))
 	r.cold[edge] = cold{c.ColdFrom, c.FallMultiple, float64(near), c.ColdFor}
 	r.cold[parent] = cold{f.ParentColdFrom, f.ParentFallMultiple, float64(max(set.Siblings, 1)), f.ParentColdFor}
@@ -625,11 +624,8 @@
 		r.judge(s, map[bool]sign{true: signGood, false: signBad}[e.Code == "done"])
 	case EvPurge:
 		r.purges = append(r.purges, purge{e.Object, e.Group, now - e.Age})
-	case EvPeers: // limits follow the living; budgets stay even shares, which add up whatever anybody believes
-		r.part, r.holdTill = 1/float64(r.near), e.Hold
-		if e.Living > 0 && e.Living < r.near {
-			r.part = 1 / float64(e.Living)
-		}
+	case EvPeers:
+		r.holdTill = e.Hold
 	case EvTimer:
 		r.ticking = false
 		r.sweep()
--- a/logic/types.go
+++ b/logic/types.go
@@ -96,7 +96,7 @@
 	EvPurge
 	EvAnswer
 	EvAbandoned
-	EvPeers // what is known of the other routers: Living, Hold
+	EvPeers // the routers know each other: Hold
 	EvKept  // a txn that copies of the router's own answer: counted, nothing else
 )
 
@@ -132,8 +132,7 @@
 	Peer  int
 	Data  []byte
 
-	Living int   // peers: routers of the location that live, itself among them; 0: not known
-	Hold   int64 // peers: when cold servers may be sent work: an earlier life may have spent its share
+	Hold int64 // peers: cold servers get nothing before: an earlier life may have spent this one's share
 }
 
 // Entry is one line of the list of servers.
