Prove on processes that a cut board breaks rules alone, and none among others that tell

Need: the real-process test of a cut board passed without its guard too: nothing that drained stood long enough to be sent to.

--- a/cmd/quilldoor/members_test.go
+++ b/cmd/quilldoor/members_test.go
@@ -79,7 +79,7 @@
   - {kind: cut_board, at: 2, for: 13, share: 0.34}
   - {kind: deploy, at: 2.5, for: 1, every: 1, strength: 1, office: 1}
   - {kind: die, at: 3, for: 3, share: 0.5, office: 2}
-  - {kind: preempt, at: 4, for: 3, share: 0.5, office: 3}
+  - {kind: preempt, at: 2.5, for: 14, share: 0.5, office: 3, strength: 12}
   - {kind: purge, at: 5, share: 0.5}
 `, 4000, false},
 		// Three camps, while a purge, a drain and a cold office come.
@@ -119,6 +119,28 @@
 	}
 }
 
+// The same cut of the board breaks rules where routers know nobody: the test above
+// proves what it says.
+func TestBoardCutAlone(t *testing.T) {
+	r, err := rehearse(t, `
+settle_s: 1
+fleet: {offices: 3, routers: 2, trunks: 2, caches: 2, cores: 3, board_ms: 200, death_ms: 500, cold_s: 2}
+load: {txns_per_s: 90, objects: 800}
+length_s: 13
+troubles:
+  - {kind: cut_board, at: 2, for: 11, share: 0.34}
+  - {kind: preempt, at: 2.5, for: 11, share: 0.5, office: 1, strength: 10}
+  - {kind: preempt, at: 2.5, for: 11, share: 0.5, office: 2, strength: 10}
+  - {kind: preempt, at: 2.5, for: 11, share: 0.5, office: 3, strength: 10}
+`, emulate.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if t.Logf("%d breaks of rule 3", r.Count[3]); r.Count[3] == 0 {
+		t.Error("no rule is broken by routers that know nobody")
+	}
+}
+
 // Membership is refused where the settings forbid talk among routers, and a person
 // asks a running router with its own command.
 func TestMembersCommand(t *testing.T) {
--- /dev/null
+++ b/logic/budget_test.go
@@ -0,0 +1,169 @@
+package logic
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// coldSite is three routers of one location before one cold cache: real modules,
+// events of the platform, and all the work that was sent there.
+type coldSite struct {
+	now     int64
+	routers []*Router
+	asleep  []bool
+	lives   uint64
+	txns    int
+	spent   []spend
+	careful bool // routers know each other: a new life holds back for a window
+	counts  bool // wrong: the budget is divided by the living
+}
+
+const budgetWork = 200 * ms // of a txn, by the rule's SLA time: sizes are not told
+
+func (c *coldSite) settings() Settings {
+	return Settings{Siblings: 3, Zone: "z", Zones: []string{"z"}, Kinds: []string{"box", "hub", "ledger"},
+		Rules:    []RemapRule{{Name: "read", Effect: "safe", SLA: budgetWork, TimeLimit: 5 * sec, Importance: 1, Fresh: sec}},
+		Contract: Contract{ColdFor: 60 * sec, ColdFrom: 0.2, FallFor: sec, FallMultiple: 2},
+		Limits:   Limits{MaxHops: 1, Cancel: true}, Family: Family{ParentKind: 1, OriginKind: 2, ZoneBalancers: []int{3}}}
+}
+
+// budget is what the cache takes within a window at its start.
+const budgetMost = 0.2 * 2 * 30 * float64(sec)
+
+func (c *coldSite) start(i int) {
+	c.lives++
+	r := New(c.settings(), c.lives)
+	c.routers[i], c.asleep[i] = r, false
+	r.Handle(c.now, Event{Kind: EvDiscovery, Scope: "disk", Entries: []Entry{
+		{Server: "cold", Zone: "z", Kind: "box", State: "active", Weight: 30, Born: 10 * sec},
+		{Server: "o", Zone: "z", Kind: "ledger", State: "active", Weight: 1}}}, nil)
+	if c.careful {
+		r.Handle(c.now, Event{Kind: EvPeers, Hold: c.now + sec}, nil)
+	}
+}
+
+func newColdSite(careful, counts bool) *coldSite {
+	c := &coldSite{now: 10 * sec, routers: make([]*Router, 3), asleep: make([]bool, 3), careful: careful, counts: counts}
+	for i := range c.routers {
+		c.start(i)
+	}
+	c.now += sec
+	return c
+}
+
+// use lets a router take txns until the cache is given nothing more.
+func (c *coldSite) use(i int) {
+	r := c.routers[i]
+	if r == nil || c.asleep[i] {
+		return
+	}
+	if c.counts {
+		living := 0
+		for k, x := range c.routers {
+			if x != nil && !c.asleep[k] {
+				living++
+			}
+		}
+		r.cold[edge].routers = float64(living)
+	}
+	for range 60 {
+		c.txns++
+		sent := false
+		for _, a := range r.Handle(c.now, Event{Kind: EvTxn, Txn: fmt.Sprint(c.txns), Rule: "read", Object: fmt.Sprint(c.txns), Remaining: 5 * sec}, nil) {
+			if a.Kind == ActGet && a.Server == "cold" {
+				c.spent = append(c.spent, spend{c.now, budgetWork})
+				sent = true
+			}
+		}
+		// It ends at once and well, so that only the budget holds the next one back.
+		r.Handle(c.now, Event{Kind: EvAnswer, Txn: fmt.Sprint(c.txns), Server: "cold", Code: "done", Final: true, RTT: budgetWork}, nil)
+		if !sent {
+			return
+		}
+	}
+}
+
+func (c *coldSite) over() bool {
+	c.spent = slices.DeleteFunc(c.spent, func(s spend) bool { return s.at <= c.now-sec })
+	sum := int64(0)
+	for _, s := range c.spent {
+		sum += s.work
+	}
+	return float64(sum) > budgetMost
+}
+
+// searchBudget plays every order of use, time, stops, wakings, deaths and starts to
+// a depth; what it finds above the budget is a path of names.
+func searchBudget(depth int, careful, counts bool) (states int, broken []string) {
+	type event struct {
+		name string
+		do   func(c *coldSite)
+	}
+	events := []event{{"soon", func(c *coldSite) { c.now += 300 * ms }}, {"later", func(c *coldSite) { c.now += sec }},
+		{"use all", func(c *coldSite) { c.use(0); c.use(1); c.use(2) }}}
+	for i := range 3 {
+		events = append(events, event{fmt.Sprint("use ", i), func(c *coldSite) { c.use(i) }},
+			event{fmt.Sprint("stop or wake ", i), func(c *coldSite) { c.asleep[i] = !c.asleep[i] }},
+			event{fmt.Sprint("kill or start ", i), func(c *coldSite) {
+				if c.routers[i] != nil {
+					c.routers[i] = nil
+				} else {
+					c.start(i)
+				}
+			}})
+	}
+	seen := map[string]bool{}
+	var walk func(path []int) bool
+	walk = func(path []int) bool {
+		c := newColdSite(careful, counts)
+		for _, e := range path {
+			events[e].do(c)
+			if c.over() {
+				for _, e := range path {
+					broken = append(broken, events[e].name)
+				}
+				return true
+			}
+		}
+		key := fmt.Sprint(c.now, c.asleep, c.spent)
+		for _, r := range c.routers {
+			key += fmt.Sprint(r == nil)
+			if r != nil {
+				key += fmt.Sprint(r.holdTill, r.servers["cold"].spent)
+			}
+		}
+		if seen[key] {
+			return false
+		}
+		seen[key] = true
+		if states++; len(path) == depth {
+			return false
+		}
+		for e := range events {
+			if walk(append(slices.Clone(path), e)) {
+				return true
+			}
+		}
+		return false
+	}
+	walk(nil)
+	return states, broken
+}
+
+// Whatever order use, stops, wakings, deaths and starts come in: all routers, with
+// their earlier lives, never send a cold cache more than its budget in a window.
+func TestColdBudgetAddsUp(t *testing.T) {
+	states, broken := searchBudget(5, true, false)
+	if broken != nil {
+		t.Fatalf("above the budget by %v", broken)
+	}
+	t.Logf("%d states", states)
+	for name, wrong := range map[string][2]bool{"the living counted": {true, true}, "a new life that holds nothing back": {false, false}} {
+		if _, broken := searchBudget(5, wrong[0], wrong[1]); broken == nil {
+			t.Errorf("%s: not caught", name)
+		} else {
+			t.Logf("%s: %v", name, broken)
+		}
+	}
+}
