--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -15,6 +15,7 @@
 
 	"quilldoor/internal/board"
 	"quilldoor/internal/config"
+	"quilldoor/internal/memberlink"
 	"quilldoor/internal/operator"
 )
 
@@ -115,8 +116,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if own.Members != nil && !c.Settings.Limits.PeerMessages {
-		return nil, errPeers
+	if own.Members != nil {
+		if !c.Settings.Limits.PeerMessages {
+			return nil, errPeers
+		}
+		if _, err := memberlink.ReadKey(own.Members.KeyFile); err != nil {
+			return nil, err
+		}
 	}
 	return &setup{c, known, own}, nil
 }
--- a/internal/memberlink/link.go
+++ b/internal/memberlink/link.go
@@ -113,8 +113,9 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue // of an earlier send: it proves nothing
+		if err != nil { // of an earlier send, or no memory: it proves nothing
+			time.Sleep(rest)
+			continue
 		}
 		w := new(members.Word)
 		if err := frames.Open(l.key, b[:size], w); err != nil {
