Wake alone, ask more when many fail, give no question up unheard; tell what processes cost

Need: a search that let other states settle found that a router which woke to find all others dead never buried them, and that with slow answers a full list of questions dropped each before it was due. Change: a stop ends with two seconds awake; questions asked before it are dropped, as their answers would tell the stop's time for the way's; a full list asks no more; three times as many questions while a quarter of the last failed. The emulator tells CPU and memory of router processes.

--- a/cmd/quilldoor-lab/emulate.go
+++ b/cmd/quilldoor-lab/emulate.go
@@ -157,6 +157,10 @@
 	if r.Crossed > 0 {
 		fmt.Fprintf(to, "handed over to another site %d, completed there %d\n", r.Crossed, r.CrossedDone)
 	}
+	if r.Cost.CPU > 0 {
+		fmt.Fprintf(to, "router processes: %.2f s of CPU, %.0f us a try; the largest %.1f MB\n", r.Cost.CPU.Seconds(),
+			float64(r.Cost.CPU.Microseconds())/float64(max(r.Taken, 1)), float64(r.Cost.MostKB)/1024)
+	}
 	if r.Excused > 0 {
 		fmt.Fprintf(to, "fell due while their router stood still: %d tries, told apart\n", r.Excused)
 	}
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -65,6 +65,7 @@
 	cut     atomic.Bool // sites can't reach each other
 	late    int64       // how late the loop did something, at most
 	knows   Members     // what was seen of the routers' knowledge of each other
+	cost    Cost
 }
 
 // process is a router and what it alone talks to.
@@ -75,6 +76,7 @@
 	starts  int
 	cmd     *exec.Cmd
 	ended   chan struct{}
+	counted *exec.Cmd // the last whose cost is
 	killed  bool
 	log     tail
 	events  []string // of the board, from 1 at each start
@@ -178,8 +180,11 @@
 	if err := v.loop(); err != nil {
 		return nil, err
 	}
+	for _, r := range v.routers {
+		r.end()
+	}
 	r := &Result{Result: v.world.Result, Breaks: v.referee.Breaks, Count: v.referee.Count, Judged: v.referee.Judged, Late: v.late,
-		Excused: v.referee.Excused}
+		Excused: v.referee.Excused, Cost: v.cost}
 	if f.Members {
 		r.Members = &v.knows
 	}
@@ -691,6 +696,13 @@
 	}
 	r.cmd.Process.Kill()
 	<-r.ended
+	if state := r.cmd.ProcessState; r.counted != r.cmd {
+		r.counted = r.cmd
+		r.cost.CPU += state.UserTime() + state.SystemTime()
+		if use, ok := state.SysUsage().(*syscall.Rusage); ok {
+			r.cost.MostKB = max(r.cost.MostKB, use.Maxrss)
+		}
+	}
 }
 
 // tail keeps the last bytes that were written.
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"context"
+	"time"
 
 	"quilldoor/internal/core"
 	"quilldoor/internal/crossing"
@@ -40,10 +41,17 @@
 	Judged int
 	Late   int64 // on sockets: how late the model was at most, in microseconds
 
+	Cost    Cost     // on sockets: of all router processes
 	Excused int      // txns that fell due while their router stood still
 	Members *Members // nil: routers don't know each other
 }
 
+// Cost is what processes used: CPU of all together, memory of the largest.
+type Cost struct {
+	CPU    time.Duration
+	MostKB int64
+}
+
 // TooLate is when a run on sockets tells nothing: the model itself broke the
 // graces that routers are judged by.
 const TooLate = 100_000
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -95,7 +95,7 @@
 	checkBefore  = 250 * ms   // suspicion's end: nobody is buried whom this router has not asked in vain itself
 	checkers     = 10         // about so many ask a suspect at once, and become witnesses or hear that it lives
 	relays       = 3          // asked to ask again
-	mostAsked    = 32         // questions that wait for an answer; the oldest is given up
+	mostAsked    = 64         // questions that wait for an answer; more are not asked
 	mostRelayed  = 64         // of others; more are not taken
 	suspectBase  = 600 * ms   // suspicion's least time: a stop of half a second, and room to say so ...
 	suspectLog   = 60 * ms    // ... and for each doubling of the members, as rumours take longer
--- a/internal/members/node.go
+++ b/internal/members/node.go
@@ -148,10 +148,8 @@
 	}
 	n.Counts.Wakings++
 	n.waking = n.now
-	for i := range n.asked {
-		n.asked[i].over = true
-	}
-	n.relayed, n.chunk = nil, nil
+	// Answers that waited meanwhile would tell the stop's time for the way's.
+	n.asked, n.relayed, n.chunk = nil, nil, nil
 	for _, m := range n.members {
 		if m.state == Suspected {
 			m.due += late
@@ -182,11 +180,15 @@
 		n.doubled = n.now
 		n.hello()
 	}
-	if len(n.round) == 0 {
+	const longAwake = 2 * second
+	if len(n.round) == 0 || n.waking > 0 && n.now-n.waking > longAwake {
 		n.waking = 0 // there is nobody to hear from
 	}
 	n.stand()
 	n.planned = n.now + min(n.set.Period/2, 50*ms)
+	if n.failing() {
+		n.planned = n.now + n.set.Period/3
+	}
 	return n.planned, n.take(), n.newsTaken()
 }
 
@@ -343,8 +345,15 @@
 
 // probe asks the next of the round. Each comes up once a round, in an order of
 // chance (SWIM's bounded time to the first question).
+//
+// When many fail at once there is more to ask: three times as often, while a quarter
+// of the last questions had no answer.
 func (n *Node) probe() {
-	if n.now-n.pinged < n.set.Period*int64(1+n.health) {
+	every := n.set.Period * int64(1+n.health)
+	if n.failing() {
+		every = n.set.Period / 3
+	}
+	if n.now-n.pinged < every {
 		return
 	}
 	n.pinged = n.now
@@ -365,11 +374,31 @@
 	}
 }
 
+func (n *Node) failing() bool {
+	if n.nth < calmSamples || n.waking > 0 {
+		return false
+	}
+	answered := 0
+	for _, ok := range n.answers {
+		if ok {
+			answered++
+		}
+	}
+	return 4*answered <= 3*calmSamples
+}
+
 func (n *Node) ping(m *member) {
-	n.seq++
 	if len(n.asked) >= mostAsked {
-		n.asked = n.asked[1:]
+		// Those that were answered by nobody only wait for a late answer's time. Where
+		// all the others may still be answered, no more is asked: who is never waited
+		// for long enough is never found silent.
+		i := slices.IndexFunc(n.asked, func(q question) bool { return q.over })
+		if i < 0 {
+			return
+		}
+		n.asked = slices.Delete(n.asked, i, i+1)
 	}
+	n.seq++
 	n.asked = append(n.asked, question{seq: n.seq, to: m, id: m.id, sent: n.now, due: n.now + n.wait(m)})
 	n.send(m, Ping, Word{Seq: n.seq})
 }
@@ -412,9 +441,7 @@
 			if q.nacks == 0 && n.alive > 1 && n.now-n.heard > n.set.Period {
 				n.health = min(n.health+1, mostHealth)
 			}
-			if n.waking == 0 {
-				n.input(q.to, inSilent, witnessOf(n.self.Name))
-			}
+			n.input(q.to, inSilent, witnessOf(n.self.Name))
 		}
 		kept = append(kept, q)
 	}
