Let a router's state, list, life and bounds pass to another process of it

Need: a change of program or settings shall lose nothing that was learned (generations).

Change: Learned/Learn and Outs/EvBeside in the module's state, Known/Resume of the board's follower, a baton of membership, bounds of clients, connections and bodies that can be set while running, a front whose clients can be moved and whose shelf and gateway can be put away; a closed shelf serves nothing any more, since it hears of no purges.

--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -155,7 +155,7 @@
 	}
 	// What is under way towards the listener when the signal comes is still taken.
 	l.(*net.TCPListener).SetDeadline(time.Now().Add(c.Limits.AcceptOn))
-	time.AfterFunc(c.Limits.AcceptOn, r.front.Crowd)
+	time.AfterFunc(c.Limits.AcceptOn, func() { r.front.Crowd(true) })
 	<-served
 	l.Close()
 	time.Sleep(c.Limits.ServeOn)
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -9,8 +9,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"time"
 
@@ -87,15 +89,16 @@
 	limits *config.Limits
 	sink   Sink
 	rev    int64
-	whole  bool  // a whole list has come
-	odd    int64 // the last number told that is not that of the last event
+	whole  bool                   // a whole list has come
+	list   map[string]core.Server // as the board has it, for another generation of this router
+	odd    int64                  // the last number told that is not that of the last event
 	addr   string
 	conn   *conn // nil: none stands
 }
 
 // New makes a follower that knows nothing yet.
 func New(limits *config.Limits, sink Sink) *Follower {
-	return &Follower{limits: limits, sink: sink}
+	return &Follower{limits: limits, sink: sink, list: map[string]core.Server{}}
 }
 
 // Apply hands on what is new in n.
@@ -117,10 +120,17 @@
 			}
 			f.whole = true
 			var list []core.Server
+			if scope != "diff" {
+				clear(f.list)
+			}
 			for _, t := range e.Pool.Targets {
 				list = append(list, core.Server{Endpoint: t.Endpoint, Entry: logic.Entry{
 					Server: t.UID, Zone: t.AZ, Kind: t.Model, Cell: t.PodGroup, State: states[t.State],
 					Weight: t.CapacityHint, Born: settings.Micros(t.BootMS)}})
+				s := list[len(list)-1]
+				if f.list[s.Server] = s; s.State == "left" {
+					delete(f.list, s.Server)
+				}
 			}
 			f.sink.Members(scope, list)
 		}
@@ -144,6 +154,30 @@
 	}
 }
 
+// Known is how far the board was followed and the list as it stands, between two
+// calls of Run.
+func (f *Follower) Known() (rev int64, list []core.Server) {
+	for _, id := range slices.Sorted(maps.Keys(f.list)) {
+		list = append(list, f.list[id])
+	}
+	return f.rev, list
+}
+
+// Resume goes on behind an event up to which another generation of this router has
+// followed the board, with the list as it stood then. Where this one has come
+// further already, nothing changes.
+func (f *Follower) Resume(rev int64, list []core.Server) {
+	if rev < f.rev || len(list) == 0 {
+		return
+	}
+	f.rev, f.whole, f.odd = rev, true, 0
+	clear(f.list)
+	for _, s := range list {
+		f.list[s.Server] = s
+	}
+	f.sink.Members("snapshot", list)
+}
+
 // Run polls the board at an address until the context ends; run again at another,
 // it goes on behind the last event. After a failure the last list stays.
 func (f *Follower) Run(ctx context.Context, addr string) {
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -20,15 +20,20 @@
 type Pool struct {
 	free sync.Pool
 	left atomic.Int64
+	most atomic.Int64
 }
 
 // NewPool bounds the bytes held in bodies.
 func NewPool(bytes int64) *Pool {
 	p := &Pool{free: sync.Pool{New: func() any { return new([Size]byte) }}}
 	p.left.Store(bytes)
+	p.most.Store(bytes)
 	return p
 }
 
+// Bound sets another bound on the bytes held. Bodies that are there stay.
+func (p *Pool) Bound(bytes int64) { p.left.Add(bytes - p.most.Swap(bytes)) }
+
 func (p *Pool) get() *[Size]byte {
 	if p.left.Add(-Size) < 0 {
 		p.left.Add(Size)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -260,6 +260,11 @@
 	ServeOn  time.Duration // after that, on open connections
 }
 
+// Within are the limits that the same settings give with other memory and descriptors.
+func (c *Config) Within(memoryMB, sockets int) *Limits {
+	return newLimits(&c.Settings, memoryMB, sockets)
+}
+
 const ms = time.Millisecond
 
 func newLimits(s *settings.Setup, memoryMB, sockets int) *Limits {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -198,6 +198,35 @@
 	c.handle(now, logic.Event{Kind: logic.EvPeers, Hold: hold})
 }
 
+// Learned is what the module knows, with its list of servers, for another generation
+// of this router.
+func (c *Core) Learned() *logic.Learned {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.module.Learned()
+}
+
+// Learn takes it over, after the list and before the first txn.
+func (c *Core) Learn(l *logic.Learned) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.module.Learn(l)
+}
+
+// Outs tells the hops that are out, by server and kind.
+func (c *Core) Outs() map[string][3]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.module.Outs()
+}
+
+// Beside takes those of the other generation of this router.
+func (c *Core) Beside(now int64, outs map[string][3]float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handle(now, logic.Event{Kind: logic.EvBeside, Outs: outs})
+}
+
 // Purge takes the purge of an object, or of a group where that is "", made at
 // the given time.
 func (c *Core) Purge(now int64, object string, group, at int64) {
--- a/internal/front/across.go
+++ b/internal/front/across.go
@@ -16,7 +16,7 @@
 
 // across hands a txn that the module has refused to another site, and puts what
 // becomes of it in the place of the refusal. False: its client has left.
-func (f *Front) across(c *client, a *ask, final *core.Order, limit time.Time, arrived chan struct{}) bool {
+func (f *Front) across(c *client, gate *gateway.Gateway, a *ask, final *core.Order, limit time.Time, arrived chan struct{}) bool {
 	rule, _ := f.core.Rule(a.event.Rule)
 	q := &gateway.Request{Event: a.event, Tag: a.tag, Body: a.body, Effect: effects[rule.Effect], Clean: !final.Ran}
 	if q.Event.Remaining = time.Until(limit).Microseconds(); q.Event.Remaining <= 0 {
@@ -25,7 +25,7 @@
 	far := make(chan gateway.Reply, 1)
 	var mu sync.Mutex
 	gone := false // nobody waits for the answer any more
-	if !f.gate.Cross(q, func(r gateway.Reply) {
+	if !gate.Cross(q, func(r gateway.Reply) {
 		mu.Lock()
 		defer mu.Unlock()
 		if gone {
@@ -57,7 +57,7 @@
 			mu.Lock()
 			gone = true
 			mu.Unlock()
-			f.gate.Leave(a.event.Txn)
+			gate.Leave(a.event.Txn)
 			select {
 			case r := <-far: // it came as the client left
 				r.Body.Release()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,9 +27,11 @@
 	up       *upstream.Pool
 	bodies   *buffer.Pool
 	limits   *config.Limits
-	shelf    *shelf.Shelf     // nil: no copies of its own
-	gate     *gateway.Gateway // nil: no other site
-	late     atomic.Int64     // answers after their time limits
+	shelf    atomic.Pointer[shelf.Shelf]     // nil: no copies of its own
+	gate     atomic.Pointer[gateway.Gateway] // nil: no other site
+	late     atomic.Int64                    // answers after their time limits
+	ends     [endKinds]atomic.Int64          // answers since the start
+	moving   atomic.Bool                     // clients are to come back on new connections
 	ready    atomic.Bool
 	draining atomic.Bool
 	still    standstill.Watch
@@ -37,6 +39,7 @@
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
+	most    int       // clients
 	crowd   bool      // the bound on clients holds no more
 	room    sync.Cond // for another client
 	none    sync.Cond // no client is left
@@ -44,17 +47,47 @@
 
 // New makes a front; it is ready once told so.
 func New(c *core.Core, up *upstream.Pool, bodies *buffer.Pool, limits *config.Limits) *Front {
-	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]struct{}{}, start: time.Now()}
+	f := &Front{core: c, up: up, bodies: bodies, limits: limits, clients: map[*client]struct{}{}, most: limits.Clients, start: time.Now()}
 	f.room.L, f.none.L = &f.mu, &f.mu
 	return f
 }
 
-// Use makes the front answer from a shelf what it can, before it serves.
-func (f *Front) Use(s *shelf.Shelf) { f.shelf = s }
+// Use makes the front answer from a shelf what it can; nil: from none.
+func (f *Front) Use(s *shelf.Shelf) { f.shelf.Store(s) }
 
-// Join lets the front hand over to another site what the module refuses, before
-// it serves.
-func (f *Front) Join(g *gateway.Gateway) { f.gate = g }
+// Join lets the front hand over to another site what the module refuses; nil: not
+// any more.
+func (f *Front) Join(g *gateway.Gateway) { f.gate.Store(g) }
+
+// Ends are how many txns ended how since the start. Left: the client went without
+// an answer. Late are of all answers.
+type Ends struct{ Completed, Rejected, Aborted, Left, Late int64 }
+
+const (
+	endCompleted = iota
+	endRejected
+	endAborted
+	endLeft
+	endLate
+	endKinds
+)
+
+// Ends tells them.
+func (f *Front) Ends() Ends {
+	return Ends{f.ends[endCompleted].Load(), f.ends[endRejected].Load(), f.ends[endAborted].Load(), f.ends[endLeft].Load(), f.ends[endLate].Load()}
+}
+
+// Move makes every further answer the last on its connection, so that clients come
+// back on new ones; idle ones stay until their next request. False ends that.
+func (f *Front) Move(on bool) { f.moving.Store(on) }
+
+// Bound sets how many clients there may be; those that there are stay.
+func (f *Front) Bound(clients int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.most = clients
+	f.room.Signal()
+}
 
 // Ready lets the health check pass; true: it did not before.
 func (f *Front) Ready() bool { return f.ready.CompareAndSwap(false, true) }
@@ -91,7 +124,7 @@
 		}
 		c := &client{Conn: sock, r: bufio.NewReaderSize(sock, buffer.Size), since: time.Now()}
 		f.mu.Lock()
-		for len(f.clients) >= f.limits.Clients && !f.crowd {
+		for len(f.clients) >= f.most && !f.crowd {
 			f.giveWay()
 			f.room.Wait()
 		}
@@ -121,11 +154,11 @@
 }
 
 // Crowd lifts the bound on clients: at the end whoever waits for room is served,
-// since the listener's deadline would not wake Serve.
-func (f *Front) Crowd() {
+// since the listener's deadline would not wake Serve. False sets it again.
+func (f *Front) Crowd(on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.crowd = true
+	f.crowd = on
 	f.room.Signal()
 }
 
@@ -279,7 +312,7 @@
 	if !f.turn(c, busy) {
 		return false
 	}
-	last := h.Close || f.draining.Load()
+	last := h.Close || f.draining.Load() || f.moving.Load()
 	var t *ask
 	status := 503
 	switch {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -35,7 +35,7 @@
 	go func() { d.served <- d.Serve(l) }()
 	t.Cleanup(func() {
 		l.Close()
-		d.Crowd()
+		d.Crowd(true)
 	})
 	return d
 }
@@ -163,7 +163,7 @@
 	v.SetDeadline(time.Now().Add(5 * time.Second))
 	served := make(chan error, 1)
 	go func() { served <- d.Serve(&last{client: theirs}) }()
-	d.Crowd()
+	d.Crowd(true)
 	if got := v.status(fmt.Sprintf(whole, 1)); got != "503" {
 		t.Fatalf("%q", got)
 	}
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -137,21 +137,25 @@
 				f.leave(o)
 			}
 			if !here {
+				f.ends[endLeft].Add(1)
 				if final != nil {
 					f.leave(*final) // it came as the client left
 				}
 				return false
 			}
-			if f.gate != nil {
-				f.gate.Home(final.Kind == core.Rejected)
-				if final.Kind == core.Rejected && !f.across(c, a, final, limit, arrived) {
+			if gate := f.gate.Load(); gate != nil {
+				gate.Home(final.Kind == core.Rejected)
+				if final.Kind == core.Rejected && !f.across(c, gate, a, final, limit, arrived) {
+					f.ends[endLeft].Add(1)
 					return false // it left meanwhile
 				}
 			}
 			if time.Since(limit) > f.limits.ReplySlack/2 {
 				f.late.Add(1)
+				f.ends[endLate].Add(1)
 			}
-			if f.shelf != nil {
+			f.ends[endOf[final.Kind]].Add(1)
+			if f.shelf.Load() != nil {
 				if out := f.settle(a, kept, tag, final, limit); out != nil {
 					f.leave(*final)
 					return f.give(c, out, a, limit, last)
@@ -165,6 +169,9 @@
 	}
 }
 
+// endOf counts a final order.
+var endOf = map[core.OrderKind]int{core.Completed: endCompleted, core.Rejected: endRejected, core.Aborted: endAborted}
+
 // orders carries out what the module has decided for a txn, up to its final answer.
 func (f *Front) orders(t *core.Txn, a *ask, tag string) (final *core.Order) {
 	for _, o := range t.Take() {
@@ -186,10 +193,11 @@
 // fromShelf looks for a copy of the router's own, and tells whether that is the
 // answer. Else the module decides as ever, and a copy may be proven or stand in.
 func (f *Front) fromShelf(a *ask, limit time.Time) (kept *shelf.Copy, served bool) {
-	if f.shelf == nil || a.event.Write {
+	own := f.shelf.Load()
+	if own == nil || a.event.Write {
 		return nil, false
 	}
-	kept = f.shelf.Get(a.onShelf(limit))
+	kept = own.Get(a.onShelf(limit))
 	if kept == nil || !kept.Sure {
 		return kept, false
 	}
@@ -198,6 +206,7 @@
 		kept.Release()
 		return nil, false
 	}
+	f.ends[endCompleted].Add(1)
 	f.core.Kept(now.UnixMicro(), a.event)
 	return kept, true
 }
@@ -220,7 +229,9 @@
 	r := final.Reply.(*upstream.Reply)
 	switch {
 	case !r.Same && !a.event.Write:
-		f.shelf.Keep(a.onShelf(limit), r.Tag, r.Issued, r.Body)
+		if own := f.shelf.Load(); own != nil {
+			own.Keep(a.onShelf(limit), r.Tag, r.Issued, r.Body)
+		}
 	case kept != nil && r.Same && tag == kept.Tag && r.Tag == tag:
 		kept.Proven(r.Issued, a.tag == "")
 		if a.tag == "" {
--- a/internal/memberlink/link.go
+++ b/internal/memberlink/link.go
@@ -68,13 +68,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("members.listen: %w", err)
 	}
+	return StartOn(conn, set, key, listen, reader, log), nil
+}
+
+// StartOn does the same with a socket that stands already.
+func StartOn(conn *net.UDPConn, set members.Settings, key []byte, listen netip.AddrPort, reader Reader, log *logrus.Entry) *Link {
 	set.Addr, set.Life, set.Most = listen, uint32(time.Now().Unix()), 1200
 	l := &Link{key: key, conn: conn, log: log, start: time.Now(), done: make(chan struct{}), reader: reader}
 	// Two processes of one name must not draw alike: this seed is not the configured one.
 	l.node = members.New(set, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), l.now())
 	l.all.Go(l.read)
 	l.all.Go(l.run)
-	return l, nil
+	return l
 }
 
 func (l *Link) now() int64 { return time.Since(l.start).Microseconds() }
@@ -227,6 +232,17 @@
 	l.node.Leave(l.now())
 }
 
+// HandOver ends without a word to anybody, for another generation of this router
+// that goes on with the same life.
+func (l *Link) HandOver() *members.Baton {
+	close(l.done)
+	l.conn.Close()
+	l.all.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Baton()
+}
+
 // Close says that it goes, and ends.
 func (l *Link) Close() {
 	l.mu.Lock()
--- a/internal/members/hear.go
+++ b/internal/members/hear.go
@@ -249,7 +249,7 @@
 	case m.state == Unknown || c > 0: // a life not heard of before
 		n.mark(m)
 		n.place(m, Unknown)
-		*m = member{name: m.name, addr: m.address(r.Addr), seed: m.seed, place: r.Place, id: r.ID, inc: r.Inc, since: n.now, spread: m.spread}
+		*m = member{name: m.name, addr: m.address(r.Addr), seed: m.seed, place: r.Place, id: r.ID, inc: r.Inc, since: n.now, spread: m.spread, runs: r.Runs}
 		n.mark(m)
 	case c < 0:
 		if whole {
@@ -270,6 +270,9 @@
 		if r.Place != "" {
 			m.place = r.Place
 		}
+		if r.Runs != nil {
+			m.runs = r.Runs
+		}
 		n.mark(m)
 	}
 	if whole { // who told it will have told others
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -68,6 +68,8 @@
 	Period int64  // between two questions; 0: 100 ms
 	Most   int    // bytes of a word; 0: 1,200, which fits every datagram
 	Rate   int    // bytes a second of what is passed on; 0: 1,500
+	Runs   *Runs  // what it says it is; nil: nothing
+	Baton  *Baton // of the generation whose place it takes; nil: it starts a life of its own
 
 	wrong wrong // of wrong variants, for tests
 }
@@ -140,6 +142,7 @@
 	view        uint32         // digest of its view, folded, by its last word
 	passed      int64          // when its rumour last began
 	due         int64          // suspicion: when it counts as dead
+	runs        *Runs          // as it says
 	high        uint64         // highest number of its words
 	window      uint64         // which of the 64 below have come
 }
--- a/internal/members/node.go
+++ b/internal/members/node.go
@@ -116,13 +116,16 @@
 		set.Rate = defaultRate
 	}
 	n := &Node{set: set, dice: dice, now: now, started: now, heard: now, filled: now, tokens: burst, telling: 2 * burst, toldAt: now, quiet: now, members: map[string]*member{},
-		self: Rumour{Name: set.Name, Place: set.Place, Addr: set.Addr, ID: ID{Life: max(set.Life, 1), Nonce: dice.Uint32()}, Inc: 1, State: Joining}}
+		self: Rumour{Name: set.Name, Place: set.Place, Addr: set.Addr, ID: ID{Life: max(set.Life, 1), Nonce: dice.Uint32()}, Inc: 1, State: Joining, Runs: set.Runs}}
 	for _, s := range set.Seeds {
 		if s.Name != set.Name {
 			n.members[s.Name] = &member{name: s.Name, addr: s.Addr, seed: true}
 		}
 	}
 	n.stood = Standing{Since: now}
+	if set.Baton != nil {
+		n.takeOver(set.Baton)
+	}
 	return n
 }
 
@@ -209,7 +212,7 @@
 	w.N = n.n
 	w.Digest = n.whole()
 	if k == Ping || k == Ack || k == Through || k == Nack {
-		w.From.Place = "" // known from the words before
+		w.From.Place, w.From.Runs = "", nil // known from the words before
 	}
 	if w.From.State == Doubled {
 		w.From.State = Joining // it asks to be taken in again
@@ -308,7 +311,7 @@
 }
 
 func (m *member) whole() Rumour {
-	r := Rumour{Name: m.name, Place: m.place, Addr: m.addr, ID: m.id, Inc: m.inc, State: m.state}
+	r := Rumour{Name: m.name, Place: m.place, Addr: m.addr, ID: m.id, Inc: m.inc, State: m.state, Runs: m.runs}
 	for _, w := range m.witnesses {
 		if w != 0 && m.state == Suspected {
 			r.Witnesses = append(r.Witnesses, w)
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -65,6 +65,7 @@
 	Heard     int64          `cbor:"9,keyasint,omitempty"` // age of the last proof; -1: none
 	Witnesses int            `cbor:"10,keyasint,omitempty"`
 	RTT       int64          `cbor:"11,keyasint,omitempty"`
+	Runs      *Runs          `cbor:"12,keyasint,omitempty"`
 }
 
 // View is a router's, for people and tests: a page of it where it is long.
@@ -82,7 +83,7 @@
 func (n *Node) View() *View {
 	v := &View{Standing: n.stood, Counts: n.Counts, Digest: n.whole()}
 	s := &n.self
-	v.Self = Seen{Name: s.Name, Place: s.Place, Addr: s.Addr, State: s.State, ID: s.ID, Inc: s.Inc}
+	v.Self = Seen{Name: s.Name, Place: s.Place, Addr: s.Addr, State: s.State, ID: s.ID, Inc: s.Inc, Runs: s.Runs}
 	for _, m := range n.members {
 		if m.state == Unknown {
 			if m.seed {
@@ -90,7 +91,7 @@
 			}
 			continue
 		}
-		x := Seen{Name: m.name, Place: m.place, Addr: m.addr, State: m.state, ID: m.id, Inc: m.inc, Reach: m.reach, Since: n.now - m.since,
+		x := Seen{Name: m.name, Place: m.place, Addr: m.addr, State: m.state, ID: m.id, Inc: m.inc, Reach: m.reach, Since: n.now - m.since, Runs: m.runs,
 			Heard: -1, RTT: int64(m.rtt)}
 		if m.heard > 0 {
 			x.Heard = n.now - m.heard
@@ -132,7 +133,7 @@
 	v.Seen = v.Seen[v.From:]
 	size := head
 	for i := range v.Seen {
-		if size += 50 + len(v.Seen[i].Name) + len(v.Seen[i].Place); size > n.set.Most {
+		if size += 70 + len(v.Seen[i].Name) + len(v.Seen[i].Place); size > n.set.Most {
 			v.Seen = v.Seen[:i]
 			break
 		}
--- a/internal/members/word.go
+++ b/internal/members/word.go
@@ -61,6 +61,15 @@
 	Inc       uint32         `cbor:"5,keyasint,omitempty"`
 	State     State          `cbor:"6,keyasint"`
 	Witnesses []uint16       `cbor:"7,keyasint,omitempty"` // of suspicion
+	Runs      *Runs          `cbor:"8,keyasint,omitempty"` // nil: an earlier text, or nobody keeps it
+}
+
+// Runs is what a router's process is. Program and Settings are digests; routers of
+// one text with the same settings, but for their names and addresses, have the same.
+type Runs struct {
+	_                 struct{} `cbor:",toarray"`
+	Generation        uint32
+	Program, Settings uint32
 }
 
 // What names and lists may hold at most.
@@ -98,6 +107,9 @@
 	if r.Addr.IsValid() {
 		n += 9
 	}
+	if r.Runs != nil {
+		n += 18
+	}
 	return n
 }
 
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -242,6 +242,9 @@
 // Serve tells, at the moment of its answer, whether the copy may still be served
 // as it is. Same says that only its tag is, by a 304.
 func (c *Copy) Serve(same bool) bool {
+	if c.shelf.closed() { // it hears of no purges any more
+		return false
+	}
 	c.shelf.mu.Lock()
 	defer c.shelf.mu.Unlock()
 	return c.shelf.tier.StillServe(c.shelf.now(), c.ref, c.rule, int64(c.Len()), same, false)
@@ -250,7 +253,7 @@
 // StandIn tells whether the copy, past its fresh time, may be served where the
 // module has no answer.
 func (c *Copy) StandIn(same bool) bool {
-	if !c.standIn {
+	if !c.standIn || c.shelf.closed() {
 		return false
 	}
 	c.shelf.mu.Lock()
@@ -345,6 +348,15 @@
 	s.done.Wait()
 }
 
+func (s *Shelf) closed() bool {
+	select {
+	case <-s.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // State is what a shelf tells of itself.
 type State struct {
 	Ready  bool
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,6 +48,7 @@
 	mu    sync.Mutex // for the books below and those of every conn; never held over I/O
 	peers map[place]*peer
 	total int
+	most  int // connections
 	stop  bool
 }
 
@@ -65,7 +66,14 @@
 
 // New makes an empty pool.
 func New(limits *config.Limits, bodies *buffer.Pool, ended Ended, log *logrus.Entry) *Pool {
-	return &Pool{limits: limits, bodies: bodies, ended: ended, log: log, peers: map[place]*peer{}}
+	return &Pool{limits: limits, bodies: bodies, ended: ended, log: log, peers: map[place]*peer{}, most: limits.Upstream}
+}
+
+// Bound sets how many connections there may be; those that there are stay.
+func (p *Pool) Bound(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
 }
 
 func (p *Pool) peer(s *core.Server) *peer {
@@ -112,10 +120,10 @@
 	if best != nil && len(best.open) == 0 {
 		return best
 	}
-	if p.total >= p.limits.Upstream {
+	if p.total >= p.most {
 		p.evict()
 	}
-	if p.stop || p.total >= p.limits.Upstream || len(r.conns) >= p.limits.PerServer && best != nil {
+	if p.stop || p.total >= p.most || len(r.conns) >= p.limits.PerServer && best != nil {
 		return best
 	}
 	return p.dial(r)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -320,6 +320,7 @@
 // room is how many hops of a kind a cache has lately answered in time.
 type room struct {
 	out, limit float64
+	beside     float64 // out at the other generation of this router, while one takes the other's place
 	size       float64 // the cache's, as listed
 	cutAt      int64
 	late       []end // the last hops
@@ -389,7 +390,7 @@
 		below += float64(1+cmp.Compare(t.value, v)) / 2
 	}
 	most := m.limit * (0.5 + below/float64(max(len(r.values), 1)))
-	return m.out >= most || most < 1 && r.chance() >= most
+	return m.out+m.beside >= most || most < 1 && r.chance() >= most
 }
 
 type state uint8
@@ -626,6 +627,8 @@
 		r.purges = append(r.purges, purge{e.Object, e.Group, now - e.Age})
 	case EvPeers:
 		r.holdTill = e.Hold
+	case EvBeside:
+		r.beside(e.Outs)
 	case EvTimer:
 		r.ticking = false
 		r.sweep()
@@ -745,7 +748,7 @@
 // idle tells whether a cache has room for txns of a jammed one. In a jam of all it must not scatter copies.
 func (r *Router) idle(s *server) bool {
 	late, all := r.lateOf(s.room[fills].late, window)
-	return window*late < max(all, 1) && 3*s.room[fills].out < s.room[fills].limit
+	return window*late < max(all, 1) && 3*(s.room[fills].out+s.room[fills].beside) < s.room[fills].limit
 }
 
 // pick is rendezvous hashing, weighted by size: the best usable server, those that failed this txn last.
--- a/logic/types.go
+++ b/logic/types.go
@@ -96,8 +96,9 @@
 	EvPurge
 	EvAnswer
 	EvAbandoned
-	EvPeers // the routers know each other: Hold
-	EvKept  // a txn that copies of the router's own answer: counted, nothing else
+	EvPeers  // the routers know each other: Hold
+	EvKept   // a txn that copies of the router's own answer: counted, nothing else
+	EvBeside // the router has two generations: Outs
 )
 
 // Event is one thing that an instance is told.
@@ -132,7 +133,8 @@
 	Peer  int
 	Data  []byte
 
-	Hold int64 // peers: cold servers get nothing before: an earlier life may have spent this one's share
+	Outs map[string][3]float64 // beside: hops that the other generation has out, by server and kind
+	Hold int64                 // peers: cold servers get nothing before: an earlier life may have spent this one's share
 }
 
 // Entry is one line of the list of servers.
