--- a/cmd/quilldoor/join.go
+++ b/cmd/quilldoor/join.go
@@ -6,13 +6,13 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"quilldoor/internal/buffer"
 	"quilldoor/internal/crossing"
 	"quilldoor/internal/frames"
 	"quilldoor/internal/gateway"
@@ -53,6 +53,13 @@
 	b.list = append(b.list, purged{object, group, at})
 }
 
+// known are all that still bind.
+func (b *purgeBook) known() []purged {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.list)
+}
+
 // Purges are those that bind a txn, the youngest of its object and of its group.
 func (h *host) Purges(object string, group int64) (out []frames.Purge) {
 	h.purges.mu.Lock()
@@ -85,33 +92,40 @@
 func (h *host) Purge(object string, group, at int64) { h.purge(object, group, at) }
 
 // openGateway starts the gateway as the operator's file has it.
-func (r *router) openGateway(c *setup, o *operator.Gateway, bodies *buffer.Pool) error {
+func (r *router) openGateway(o *operator.Gateway) error {
+	c := r.setup
 	keys := &gateway.Keys{Cert: o.Cert, Key: o.Key, CA: o.CA}
 	if err := keys.Load(); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", o.Listen)
+	var l net.Listener
+	var err error
+	if r.kept == nil {
+		l, err = net.Listen("tcp", o.Listen)
+	} else {
+		l, err = r.kept.Listener("gateway")
+	}
 	if err != nil {
 		return fmt.Errorf("gateway.listen: %w", err)
 	}
-	set := c.Settings.Logic()
+	set := &r.set
 	r.host = &host{router: r, purges: purgeBook{done: set.Family.PurgeDone + c.Limits.LongestTxn.Microseconds()}}
 	config := gateway.Config{Keys: keys, Upload: c.Limits.Upload, Answer: c.Limits.Answer, Longest: c.Limits.LongestTxn, Seed: c.Seed,
 		Settings: crossing.Settings{Name: o.Name, Site: o.Site, Most: o.Most, Reserve: o.Reserve, Beat: int64(o.BeatMS) * 1000}}
 	for _, p := range o.Peers {
 		config.Peers = append(config.Peers, gateway.Peer(p))
 	}
-	r.keys, r.gate = keys, gateway.Start(config, l, r.host, bodies, r.log)
+	r.keys, r.gate = keys, gateway.Start(config, l, r.host, r.bodies, r.log)
 	r.front.Join(r.gate)
 	return nil
 }
 
 // tellStatus writes the gateway's status to a file every second.
-func (r *router) tellStatus(ctx context.Context, path string) {
+func (r *router) tellStatus(ctx context.Context, gate *gateway.Gateway, path string) {
 	every := time.NewTicker(time.Second)
 	defer every.Stop()
 	for failed := false; ; {
-		s := r.gate.Status()
+		s := gate.Status()
 		s.WrittenAtMS = time.Now().UnixMilli()
 		text, err := json.MarshalIndent(s, "", " ")
 		if err == nil {
--- /dev/null
+++ b/cmd/quilldoor/keep.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"quilldoor/internal/change"
+	"quilldoor/internal/generation"
+	"quilldoor/internal/handover"
+	"quilldoor/internal/keeper"
+	"quilldoor/internal/operator"
+)
+
+var errKeep = errors.New("keep: not in the operator's file")
+
+func keepCommand(f *flags) *cobra.Command {
+	c := &cobra.Command{Use: "keep", Short: "Keep a router: change its program and settings under load", Args: cobra.NoArgs,
+		Long: "Holds the router's sockets and runs it as a process of its own, by keep in the operator's file. 'quilldoor change'\n" +
+			"then puts another program or other settings in its place."}
+	c.RunE = func(*cobra.Command, []string) error {
+		log, err := f.logger()
+		if err != nil {
+			return err
+		}
+		s, err := f.load()
+		if err != nil {
+			return err
+		}
+		own := s.operator.Keep
+		if own == nil {
+			return errKeep
+		}
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		term := make(chan os.Signal, 1)
+		signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
+		return keeper.Run(keeper.Config{Folder: own.Folder, Program: self, Platform: cmp.Or(f.over.File, os.Getenv("LB_CONFIG")),
+			Operator: cmp.Or(f.operator, os.Getenv("LB_OPERATOR"), operator.DefaultPath), Log: log.WithField("router", s.Name),
+			Times: change.Times{Ready: micros(own.ReadyS), Trial: micros(own.TrialS), Drain: (s.Limits.LongestTxn + s.Limits.IdleClient + drainSlack).Microseconds()}},
+			term, hup)
+	}
+	return c
+}
+
+// drainSlack is for what stands round the drain itself: half a second of accepting,
+// the disk's last writes, connections that are closed.
+const drainSlack = 3 * time.Second
+
+func micros(seconds float64) int64 { return int64(seconds * 1e6) }
+
+// Exit codes of 'change apply' and 'change back'.
+var (
+	errRefused  = errors.New("refused")
+	errFellBack = errors.New("fell back")
+)
+
+func changeCommand(f *flags) *cobra.Command {
+	c := &cobra.Command{Use: "change", Short: "Put another program or other settings in a kept router's place"}
+	var folder, program string
+	c.PersistentFlags().StringVar(&folder, "folder", "", "the keeper's folder; else keep.folder of the operator's file")
+	find := func() error {
+		if folder != "" {
+			return nil
+		}
+		own, err := operator.Load(f.operator, os.Getenv)
+		if err != nil {
+			return err
+		}
+		if own.Keep == nil {
+			return errKeep
+		}
+		folder = own.Keep.Folder
+		return nil
+	}
+	ask := func(w *handover.Word) error {
+		if err := find(); err != nil {
+			return err
+		}
+		last, err := askKeeper(folder, w, func(text string) { fmt.Println(text) })
+		switch {
+		case err != nil:
+			return err
+		case last.FellBack:
+			return errFellBack
+		case !last.OK:
+			return errRefused
+		}
+		return nil
+	}
+	abs := func(path string) string {
+		if path == "" {
+			return ""
+		}
+		p, err := filepath.Abs(path)
+		if err != nil {
+			return path
+		}
+		return p
+	}
+	apply := &cobra.Command{Use: "apply", Short: "Change, and wait for what becomes of it", Args: cobra.NoArgs,
+		Long: "--program, --config and --operator name what is new; what is not named stays. Exit code 1: refused, or it fell\nback; the last line says why."}
+	apply.Flags().StringVar(&program, "program", "", "another program")
+	apply.RunE = func(*cobra.Command, []string) error {
+		return ask(&handover.Word{Kind: handover.Apply, Program: abs(program), Config: abs(f.over.File), Operator: abs(f.operator)})
+	}
+	back := &cobra.Command{Use: "back", Short: "End a trial, or change to the generation before", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return ask(&handover.Word{Kind: handover.Back}) }}
+	check := &cobra.Command{Use: "check", Short: "Tell the keys in which settings differ and how each changes; changes nothing", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return f.compare(folder) }}
+	var asJSON bool
+	status := &cobra.Command{Use: "status", Short: "Tell the generations and what became of the last change", Args: cobra.NoArgs}
+	status.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	status.RunE = func(*cobra.Command, []string) error {
+		if err := find(); err != nil {
+			return err
+		}
+		w, err := askKeeper(folder, &handover.Word{Kind: handover.Status}, func(string) {})
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			enc := json.NewEncoder(os.Stdout)
+			enc.SetIndent("", " ")
+			return enc.Encode(w.Standing)
+		}
+		printStanding(w.Standing)
+		return nil
+	}
+	c.AddCommand(apply, back, check, status)
+	return c
+}
+
+// askKeeper says a word to a keeper and waits for its last report.
+func askKeeper(folder string, w *handover.Word, tell func(string)) (*handover.Word, error) {
+	sock, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: filepath.Join(folder, generation.SocketName), Net: "unix"})
+	if err != nil {
+		return nil, fmt.Errorf("no keeper answers in %s: %w", folder, err)
+	}
+	c := handover.NewConn(sock)
+	defer c.Close()
+	if err := c.Say(w); err != nil {
+		return nil, err
+	}
+	for {
+		r, err := c.Hear()
+		if err != nil {
+			return nil, fmt.Errorf("the keeper has gone: %w", err)
+		}
+		if r.Note != "" {
+			tell(r.Note)
+		}
+		if r.Over {
+			return r, nil
+		}
+	}
+}
+
+// compare prints in which keys settings differ from those of a keeper that runs.
+func (f *flags) compare(folder string) error {
+	s, err := f.load()
+	if err != nil {
+		return err
+	}
+	now, err := flatten(f)
+	if err != nil {
+		return err
+	}
+	if folder == "" {
+		if s.operator.Keep == nil {
+			return errKeep
+		}
+		folder = s.operator.Keep.Folder
+	}
+	was, err := keeper.Settled(folder)
+	if err != nil {
+		return err
+	}
+	diff := change.Diff(was, now)
+	for _, d := range diff {
+		fmt.Println(d)
+	}
+	how, ok := change.Verdict(diff)
+	switch {
+	case len(diff) == 0:
+		fmt.Println("no key differs")
+	case !ok:
+		return errors.New("some of it can't change on this router")
+	case how == change.Live:
+		fmt.Println("all of it changes while the router runs")
+	default:
+		fmt.Println("it takes a new generation")
+	}
+	return nil
+}
+
+func printStanding(s *handover.Standing) {
+	fmt.Printf("%s for %.1f s; keeper %d, %d restarts\n", s.State, float64(s.SinceMS)/1000, s.KeeperPID, s.Restarts)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "generation\twhat\tprocess\tdoes\tMB\tdescriptors\tcompleted\trejected\taborted\tleft\tlate\tsaid")
+	for _, p := range []struct {
+		what string
+		*handover.Process
+	}{{"settled", s.Serving}, {"new", s.Next}} {
+		if p.Process != nil {
+			e := p.Ends
+			fmt.Fprintf(w, "%d\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d ms ago\n", p.Generation, p.what, p.PID, p.Part, p.MemoryMB, p.Descriptors,
+				e.Completed, e.Rejected, e.Aborted, e.Left, e.Late, p.BeatMS)
+		}
+	}
+	w.Flush()
+	for _, m := range []struct {
+		what string
+		*handover.Manifest
+	}{{"settled", s.Settled}, {"before", s.Previous}} {
+		if m.Manifest != nil {
+			fmt.Printf("%s: generation %d, %s (%s, %s), settings %016x\n", m.what, m.Generation, m.Program, m.Version, m.ProgramSum, m.Settings)
+		}
+	}
+	if s.Last != "" {
+		fmt.Println("last change:", s.Last)
+	}
+	if !s.Lasting {
+		fmt.Println("THE STATE FILE CAN'T BE WRITTEN: a cold start begins with what it has")
+	}
+}
--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"quilldoor/internal/board"
+	"quilldoor/internal/change"
 	"quilldoor/internal/config"
 	"quilldoor/internal/memberlink"
 	"quilldoor/internal/operator"
@@ -50,17 +51,10 @@
 	all.StringVar(&f.format, "log-format", "text", "form of the log's lines: text or json")
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Run the router (the default)", Args: cobra.NoArgs, RunE: run},
-		&cobra.Command{Use: "check", Short: "Read and check the configuration and the operator's file, then end",
-			Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-				c, err := f.load()
-				if err == nil {
-					fmt.Println("configuration of", c.Name, "is good")
-				}
-				return err
-			}},
+		checkCommand(&f),
 		&cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Println("quilldoor", version()) }},
-		diskCommand(), gatewayCommand(&f), membersCommand(&f), keysCommand())
+		diskCommand(), gatewayCommand(&f), membersCommand(&f), keysCommand(), keepCommand(&f), changeCommand(&f))
 	return root
 }
 
@@ -124,7 +118,15 @@
 			return nil, err
 		}
 	}
-	return &setup{c, known, own}, nil
+	s := &setup{Config: c, known: known, operator: own}
+	if own.Keep != nil {
+		flat, err := flatten(f)
+		if err != nil {
+			return nil, err
+		}
+		s.digest = change.Digest(flat)
+	}
+	return s, nil
 }
 
 // version is that of the module, with the commit where the build knows it.
--- a/cmd/quilldoor/members.go
+++ b/cmd/quilldoor/members.go
@@ -22,24 +22,36 @@
 var errPeers = errors.New("members: the settings forbid talk among routers (settings.Limits.PeerMessages)")
 
 // openMembers starts to look for the other routers as the operator's file has it.
-func (r *router) openMembers(c *setup, o *operator.Members) error {
+func (r *router) openMembers(o *operator.Members, b *members.Baton) error {
+	c := r.setup
 	key, err := memberlink.ReadKey(o.KeyFile)
 	if err != nil {
 		return err
 	}
-	set := members.Settings{Name: o.Name, Place: o.Place, Rate: o.Rate}
+	set := members.Settings{Name: o.Name, Place: o.Place, Rate: o.Rate, Baton: b}
+	if r.kept != nil {
+		set.Runs = &members.Runs{Generation: uint32(r.kept.Number), Program: programDigest(), Settings: uint32(c.digest)}
+	}
 	if set.Place == "" {
 		set.Place = c.Settings.Zone
 	}
 	for _, p := range o.Peers {
 		set.Seeds = append(set.Seeds, members.Seed{Name: p.Name, Addr: netip.MustParseAddrPort(p.Addr)})
 	}
-	s := c.Settings.Logic()
-	r.peers = &peers{router: r, book: news.New(news.Settings{Keep: s.Family.PurgeDone + c.Limits.LongestTxn.Microseconds()}),
+	r.peers = &peers{router: r, book: news.New(news.Settings{Keep: r.set.Family.PurgeDone + c.Limits.LongestTxn.Microseconds()}),
 		start: time.Now()}
+	listen := netip.MustParseAddrPort(o.Listen)
+	if r.kept != nil {
+		conn, err := r.kept.UDP("members")
+		if err != nil {
+			return err
+		}
+		r.members = memberlink.StartOn(conn, set, key, listen, r.peers, r.log)
+		return nil
+	}
 	// The life before may have spent its share of cold servers' budgets until now.
-	r.core.Peers(clock(), clock()+s.Contract.FallFor)
-	r.members, err = memberlink.Start(set, key, netip.MustParseAddrPort(o.Listen), r.peers, r.log)
+	r.core.Peers(clock(), clock()+r.set.Contract.FallFor)
+	r.members, err = memberlink.Start(set, key, listen, r.peers, r.log)
 	return err
 }
 
--- /dev/null
+++ b/cmd/quilldoor/own.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"quilldoor/internal/change"
+	"quilldoor/internal/core"
+	"quilldoor/internal/gateway"
+	"quilldoor/internal/handover"
+	"quilldoor/internal/members"
+	"quilldoor/logic"
+)
+
+// wrongly makes a wrong variant of the program; tests of changes set it.
+var wrongly func(when string, r *router)
+
+// acquire takes what one process of a router owns at a time: the disk tier's folder,
+// the gateway, its place among the members, the files that it writes.
+func (r *router) acquire(b *members.Baton) error {
+	own := r.setup.operator
+	if own.Disk != nil {
+		if err := r.openShelf(own.Disk); err != nil {
+			return err
+		}
+	}
+	if own.Gateway != nil {
+		if err := r.openGateway(own.Gateway); err != nil {
+			return err
+		}
+	}
+	if own.Members != nil {
+		if err := r.openMembers(own.Members, b); err != nil {
+			return err
+		}
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	if own.Metrics != nil {
+		r.writers.Go(func() { r.publish(ctx, own.Metrics) })
+	}
+	if g := r.gate; g != nil && own.Gateway.Status != "" {
+		r.writers.Go(func() { r.tellStatus(ctx, g, own.Gateway.Status) })
+	}
+	return nil
+}
+
+// release ends all of that, and what is across with it.
+func (r *router) release() {
+	if r.stop != nil {
+		r.stop()
+		r.writers.Wait()
+		r.stop = nil
+	}
+	if r.members != nil {
+		r.members.Close()
+		r.members = nil
+	}
+	if r.gate != nil {
+		r.gate.Close()
+		r.gate = nil
+	}
+	if own := r.shelf.Swap(nil); own != nil {
+		r.front.Use(nil)
+		own.Close()
+	}
+}
+
+// passOn lets it go for another generation, without a word to anybody. What is
+// across to other sites comes back to this process.
+func (r *router) passOn() (b *members.Baton) {
+	r.stop()
+	r.writers.Wait()
+	r.stop = nil
+	if r.members != nil {
+		b = r.members.HandOver()
+		r.members, r.peers = nil, nil
+	}
+	if g := r.gate; g != nil {
+		r.front.Join(nil)
+		g.Drain()
+		g.Deafen()
+		r.gate, r.keys, r.host = nil, nil, nil
+		go closeIdle(g, r.limit.LongestTxn)
+	}
+	if own := r.shelf.Swap(nil); own != nil {
+		r.front.Use(nil)
+		own.Close()
+	}
+	return b
+}
+
+func closeIdle(g *gateway.Gateway, within time.Duration) {
+	const every = 20 * time.Millisecond
+	for until := time.Now().Add(within); time.Now().Before(until) && !g.Idle(); {
+		time.Sleep(every)
+	}
+	g.Close()
+}
+
+// listen opens the clients' socket, or takes the one that a keeper has handed down.
+func (r *router) listen() (*net.TCPListener, error) {
+	var l net.Listener
+	var err error
+	if r.kept == nil {
+		l, err = net.Listen("tcp", r.setup.Listen)
+	} else {
+		l, err = r.kept.Listener("listen")
+	}
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil, errors.New("no TCP socket")
+	}
+	return tcp, nil
+}
+
+// owner is the router as a generation.
+type owner struct {
+	*router
+	ctx  context.Context
+	load func() (*setup, error)
+}
+
+// Own takes the place of another generation, or begins from nothing.
+func (o *owner) Own(s *handover.State, mine, hold bool) error {
+	r := o.router
+	r.unfollow()
+	defer r.follow(o.ctx)
+	if s == nil {
+		s = &handover.State{}
+	}
+	if mine && s.Baton != nil {
+		s.Baton.Back()
+	}
+	if hold {
+		r.holdTill = clock() + r.set.Contract.FallFor
+	} else {
+		r.holdTill = 0
+	}
+	if err := r.acquire(s.Baton); err != nil {
+		return err
+	}
+	list := make([]core.Server, len(s.Servers))
+	for i, x := range s.Servers {
+		list[i] = core.Server{Endpoint: x.Endpoint, Entry: logic.Entry{Server: x.Server, Zone: x.Zone, Kind: x.Kind, Cell: x.Cell,
+			State: x.State, Weight: x.Weight, Born: x.Born}}
+	}
+	r.follower.Resume(s.Rev, list)
+	if r.host != nil {
+		for _, p := range s.Purges {
+			r.host.purges.add(p.Object, p.Group, p.At)
+		}
+	}
+	if s.Learned != nil && !mine {
+		if err := r.core.Learn(s.Learned); err != nil { // it serves without, as after a start from nothing
+			r.log.WithError(err).Warn("change: what was learned is of another text, it begins anew")
+		}
+	}
+	r.core.Peers(clock(), r.holdTill)
+	r.accept()
+	if wrongly != nil {
+		wrongly("own", r)
+	}
+	return nil
+}
+
+// Disown accepts nothing more, and spends nothing on cold servers: the budget goes
+// with what is known of them.
+func (o *owner) Disown() *handover.State {
+	const never = 1 << 62
+	r := o.router
+	r.listener.SetDeadline(time.Now())
+	r.front.Crowd(true)
+	<-r.served
+	r.served = nil
+	r.front.Move(true)
+	r.core.Peers(clock(), never)
+	r.unfollow()
+	defer r.follow(o.ctx)
+	s := &handover.State{Learned: r.core.Learned()}
+	s.Learned.HoldTill = r.holdTill
+	if r.host != nil {
+		for _, p := range r.host.purges.known() {
+			s.Purges = append(s.Purges, handover.Purge{Object: p.object, Group: p.group, At: p.at})
+		}
+	}
+	s.Baton = r.passOn()
+	rev, list := r.follower.Known()
+	s.Rev = rev
+	for _, x := range list {
+		s.Servers = append(s.Servers, handover.Server{Server: x.Server, Zone: x.Zone, Kind: x.Kind, Cell: x.Cell, State: x.State,
+			Weight: x.Weight, Born: x.Born, Endpoint: x.Endpoint})
+	}
+	return s
+}
+
+// Bound sets this generation's part of the machine.
+func (o *owner) Bound(u change.Use) {
+	l := o.setup.Within(u.MemoryMB, u.Descriptors)
+	debug.SetMemoryLimit(l.Memory)
+	o.bodies.Bound(l.Held)
+	o.front.Bound(l.Clients)
+	o.up.Bound(l.Upstream)
+	o.log.WithField("memory_mb", u.MemoryMB).WithField("sockets", u.Descriptors).Info("change: part of the machine")
+}
+
+func (o *owner) Beside(outs map[string][3]float64) { o.core.Beside(clock(), outs) }
+
+func (o *owner) Reload() { o.reload(o.ctx, o.load) }
+
+func (o *owner) Ready() bool {
+	if wrongly != nil {
+		wrongly("ready", o.router)
+	}
+	return o.front.Listed()
+}
+
+func (o *owner) Beat() (change.Ends, map[string][3]float64, int) {
+	if wrongly != nil {
+		wrongly("beat", o.router)
+	}
+	txns, _ := o.core.Count()
+	return change.Ends(o.front.Ends()), o.core.Outs(), txns
+}
--- a/cmd/quilldoor/publish.go
+++ b/cmd/quilldoor/publish.go
@@ -64,10 +64,14 @@
 	if r.members != nil {
 		r.collectMembers(gauge, count)
 	}
-	if r.shelf == nil {
+	if r.kept != nil {
+		gauge(float64(r.kept.Number), "generation")
+	}
+	own := r.shelf.Load()
+	if own == nil {
 		return
 	}
-	s := r.shelf.State()
+	s := own.State()
 	for i := range tier.Reasons {
 		count(s.Counts.Looks[i], "disk_looks_total{reason=%q}", tier.Reason(i))
 		count(s.Counts.Offers[i], "disk_offers_total{reason=%q}", tier.Reason(i))
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -11,6 +11,8 @@
 	"runtime/metrics"
 	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +25,7 @@
 	"quilldoor/internal/disk"
 	"quilldoor/internal/front"
 	"quilldoor/internal/gateway"
+	"quilldoor/internal/generation"
 	"quilldoor/internal/memberlink"
 	"quilldoor/internal/operator"
 	"quilldoor/internal/shelf"
@@ -33,18 +36,33 @@
 
 // router holds the parts together and tells them of each other's news.
 type router struct {
-	log     *logrus.Entry
-	core    *core.Core
-	up      *upstream.Pool
-	front   *front.Front
-	shelf   *shelf.Shelf // nil: off
+	log    *logrus.Entry
+	setup  *setup
+	set    logic.Settings
+	core   *core.Core
+	up     *upstream.Pool
+	front  *front.Front
+	bodies *buffer.Pool
+	limit  *config.Limits
+	kick   chan struct{}
+
+	follower *board.Follower
+	unfollow func()
+	boardAt  string // address of the board that is followed
+	listener *net.TCPListener
+	served   chan error             // of the front; nil: it accepts nobody
+	kept     *generation.Generation // nil: nobody keeps this router
+	holdTill int64                  // cold servers get nothing before
+
+	// What one process owns at a time (own.go). Changed while the board is not followed.
+	shelf   atomic.Pointer[shelf.Shelf] // nil: off
 	gate    *gateway.Gateway
 	keys    *gateway.Keys
 	members *memberlink.Link // nil: off
 	peers   *peers           // what is decided by it; nil: off
 	host    *host
-	limit   *config.Limits
-	kick    chan struct{}
+	stop    context.CancelFunc // of what is written to files
+	writers sync.WaitGroup
 }
 
 func clock() int64 { return time.Now().UnixMicro() }
@@ -54,6 +72,7 @@
 	*config.Config
 	known    *board.News
 	operator *operator.Config
+	digest   uint64 // of the settings, where a keeper keeps the router
 }
 
 // serve runs the router until a signal comes on term. Those on hup make it load
@@ -61,90 +80,56 @@
 func serve(c *setup, logger *logrus.Logger, term, hup <-chan os.Signal, load func() (*setup, error)) error {
 	runtime.GOMAXPROCS(max(int(c.Cores), 1))
 	debug.SetMemoryLimit(c.Limits.Memory)
-	set := c.Settings.Logic()
-	r := &router{log: logger.WithField("router", c.Name), limit: c.Limits, kick: make(chan struct{}, 1)}
-	r.core = core.New(&set, c.Seed, func() {
+	r := &router{log: logger.WithField("router", c.Name), setup: c, set: c.Settings.Logic(), limit: c.Limits, kick: make(chan struct{}, 1),
+		boardAt: c.Board}
+	var err error
+	if r.kept, err = generation.Inherit(os.Getenv); err != nil {
+		return err
+	}
+	r.core = core.New(&r.set, c.Seed, func() {
 		select {
 		case r.kick <- struct{}{}:
 		default:
 		}
 	})
-	bodies := buffer.NewPool(c.Limits.Held)
-	r.up = upstream.New(c.Limits, bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) }, r.log)
-	r.front = front.New(r.core, r.up, bodies, c.Limits)
-	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": set.Zone,
-		"rules": len(set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
+	r.bodies = buffer.NewPool(c.Limits.Held)
+	r.up = upstream.New(c.Limits, r.bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) }, r.log)
+	r.front = front.New(r.core, r.up, r.bodies, c.Limits)
+	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": r.set.Zone,
+		"rules": len(r.set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
-
-	if d := c.operator.Disk; d != nil {
-		if err := r.openShelf(c, d, &set, bodies); err != nil {
-			return err
-		}
-		defer r.shelf.Close()
-	}
-	if o := c.operator.Gateway; o != nil {
-		if err := r.openGateway(c, o, bodies); err != nil {
-			return err
-		}
-		defer r.gate.Close()
+	if wrongly != nil {
+		wrongly("start", r)
 	}
-	if o := c.operator.Members; o != nil {
-		if err := r.openMembers(c, o); err != nil {
+	if r.kept == nil {
+		defer r.release()
+		if err := r.acquire(nil); err != nil {
 			return err
 		}
-		defer r.members.Close()
 	}
 	if err := reserve(c.Limits.Sockets); err != nil {
 		r.log.WithError(err).Warn("descriptor table not grown")
 	}
-	l, err := net.Listen("tcp", c.Listen)
-	if err != nil {
+	if r.listener, err = r.listen(); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 
-	follower := board.New(c.Limits, r)
-	follower.Apply(c.known)
-	unfollow := follow(ctx, follower, c.Board)
+	r.follower = board.New(c.Limits, r)
+	r.follower.Apply(c.known)
+	r.follow(ctx)
 	go r.attend(ctx)
 	go r.front.Attend(ctx.Done())
-	if m := c.operator.Metrics; m != nil {
-		go r.publish(ctx, m)
-	}
-	if o := c.operator.Gateway; o != nil && o.Status != "" {
-		go r.tellStatus(ctx, o.Status)
-	}
-	served := make(chan error, 1)
-	go func() { served <- r.front.Serve(l) }()
-
-	for open := true; open; {
-		select {
-		case err := <-served:
-			return fmt.Errorf("listen: %w", err)
-		case s := <-term:
-			r.log.WithField("signal", s.String()).Info("shutting down, still accepting")
-			open = false
-		case <-hup:
-			fresh, err := load()
-			if err != nil {
-				r.log.WithError(err).Error("new configuration refused, the old one stays")
-				continue
-			}
-			for _, key := range append(c.Fixed(fresh.Config), c.operator.Fixed(fresh.operator)...) {
-				r.log.WithField("key", key).Warn("new configuration: takes a restart, the old value stays")
-			}
-			if r.keys != nil {
-				if err := r.keys.Load(); err != nil {
-					r.log.WithError(err).Error("gateway: new certificate refused, the old one stays")
-				} else {
-					r.log.Info("gateway: certificate read again")
-				}
-			}
-			unfollow()
-			follower.Apply(&board.News{Notices: fresh.known.Notices})
-			unfollow = follow(ctx, follower, fresh.Board)
-			r.log.WithField("board", fresh.Board).Info("new configuration in force")
+	if r.kept != nil {
+		defer r.release()
+		if err := r.kept.Run(ctx, &owner{r, ctx, load}, term, r.log); err != nil {
+			return err
+		}
+	} else {
+		r.accept()
+		if err := r.wait(ctx, term, hup, load); err != nil {
+			return err
 		}
 	}
 	if r.gate != nil {
@@ -153,12 +138,17 @@
 	if r.members != nil {
 		r.members.Leave()
 	}
-	// What is under way towards the listener when the signal comes is still taken.
-	l.(*net.TCPListener).SetDeadline(time.Now().Add(c.Limits.AcceptOn))
-	time.AfterFunc(c.Limits.AcceptOn, func() { r.front.Crowd(true) })
-	<-served
-	l.Close()
-	time.Sleep(c.Limits.ServeOn)
+	if r.served != nil {
+		// What is under way towards the listener when the signal comes is still taken.
+		r.listener.SetDeadline(time.Now().Add(c.Limits.AcceptOn))
+		time.AfterFunc(c.Limits.AcceptOn, func() { r.front.Crowd(true) })
+		<-r.served
+		r.listener.Close()
+		time.Sleep(c.Limits.ServeOn)
+	} else {
+		r.listener.Close()
+		r.front.Linger(c.Limits.IdleClient)
+	}
 	left := r.front.Drain(c.Limits.LongestTxn + c.Limits.ReplySlack)
 	r.up.Close()
 	txns, _ := r.core.Count()
@@ -166,6 +156,57 @@
 	return nil
 }
 
+// wait serves until a signal says to end.
+func (r *router) wait(ctx context.Context, term, hup <-chan os.Signal, load func() (*setup, error)) error {
+	for {
+		select {
+		case err := <-r.served:
+			return fmt.Errorf("listen: %w", err)
+		case s := <-term:
+			r.log.WithField("signal", s.String()).Info("shutting down, still accepting")
+			return nil
+		case <-hup:
+			r.reload(ctx, load)
+		}
+	}
+}
+
+// reload reads the configuration again and takes what can change while it runs.
+func (r *router) reload(ctx context.Context, load func() (*setup, error)) {
+	fresh, err := load()
+	if err != nil {
+		r.log.WithError(err).Error("new configuration refused, the old one stays")
+		return
+	}
+	for _, key := range append(r.setup.Fixed(fresh.Config), r.setup.operator.Fixed(fresh.operator)...) {
+		r.log.WithField("key", key).Warn("new configuration: takes a restart, the old value stays")
+	}
+	if r.keys != nil {
+		if err := r.keys.Load(); err != nil {
+			r.log.WithError(err).Error("gateway: new certificate refused, the old one stays")
+		} else {
+			r.log.Info("gateway: certificate read again")
+		}
+	}
+	r.unfollow()
+	r.follower.Apply(&board.News{Notices: fresh.known.Notices})
+	r.boardAt = fresh.Board
+	r.follow(ctx)
+	r.log.WithField("board", fresh.Board).Info("new configuration in force")
+}
+
+// accept lets clients in.
+func (r *router) accept() {
+	r.listener.SetDeadline(time.Time{})
+	r.front.Crowd(false)
+	r.front.Move(false)
+	r.served = make(chan error, 1)
+	go func(done chan<- error) { done <- r.front.Serve(r.listener) }(r.served)
+}
+
+// follow goes on following the board.
+func (r *router) follow(ctx context.Context) { r.unfollow = follow(ctx, r.follower, r.boardAt) }
+
 // follow runs the follower at an address until the function it returns is called,
 // which waits for its end: two never run at once, and no event is applied twice.
 func follow(ctx context.Context, f *board.Follower, addr string) (end func()) {
@@ -246,8 +287,8 @@
 	r.log.WithFields(logrus.Fields{"txns": txns, "servers": servers, "clients": clients, "late_answers": late,
 		"upstream": r.up.Count(), "goroutines": runtime.NumGoroutine(), "memory_mb": m[0].Value.Uint64() >> 20,
 		"collections": m[1].Value.Uint64(), "timer_late_ms_most": lag.Milliseconds()}).Info("status")
-	if r.shelf != nil {
-		r.log.WithFields(r.shelf.Status()).Info("disk tier status")
+	if own := r.shelf.Load(); own != nil {
+		r.log.WithFields(own.Status()).Info("disk tier status")
 	}
 }
 
@@ -309,8 +350,8 @@
 // purge tells the parts of a purge, from the board or from a peer.
 func (r *router) purge(object string, group, at int64) {
 	r.core.Purge(clock(), object, group, at)
-	if r.shelf != nil {
-		r.shelf.Purge(object, group, at)
+	if own := r.shelf.Load(); own != nil {
+		own.Purge(object, group, at)
 	}
 	r.log.WithFields(logrus.Fields{"object": object, "group": group, "age_ms": (clock() - at) / 1000}).Debug("purge")
 }
@@ -318,29 +359,30 @@
 // BoardLost tells of the first failed poll in a row.
 func (r *router) BoardLost(err error) {
 	r.log.WithError(err).Warn("notice board lost, the last list stays")
-	if r.shelf != nil {
-		r.shelf.Board(true)
+	if own := r.shelf.Load(); own != nil {
+		own.Board(true)
 	}
 }
 
 // BoardBack tells that polls go through again.
 func (r *router) BoardBack() {
 	r.log.Info("notice board back")
-	if r.shelf != nil {
-		r.shelf.Board(false)
+	if own := r.shelf.Load(); own != nil {
+		own.Board(false)
 	}
 }
 
 // BoardGap tells that purges may have been missed.
 func (r *router) BoardGap() {
-	if r.shelf != nil {
+	if own := r.shelf.Load(); own != nil {
 		r.log.Warn("notice board: events are missing, copies on disk are proven again")
-		r.shelf.Gap()
+		own.Gap()
 	}
 }
 
 // openShelf starts the disk tier as the operator's file has it.
-func (r *router) openShelf(c *setup, d *operator.Disk, set *logic.Settings, bodies *buffer.Pool) error {
+func (r *router) openShelf(d *operator.Disk) error {
+	c, set := r.setup, &r.set
 	var rules []tier.Rule
 	named := map[string]bool{}
 	for _, k := range set.Rules {
@@ -359,7 +401,7 @@
 		}
 	}
 	const mb, millis = 1 << 20, 1000
-	r.shelf = shelf.Start(shelf.Config{
+	own := shelf.Start(shelf.Config{
 		FS: disk.Dir{Path: d.Path}, Path: d.Path, Super: disk.Super{Slot: d.SlotKB << 10, Seed: rand.Uint64()},
 		ReadWait: time.Duration(d.ReadWaitMS) * time.Millisecond,
 		Settings: tier.Settings{Rules: rules, Slot: d.SlotKB << 10, Slots: d.Slots(), Entries: d.Entries(),
@@ -369,8 +411,9 @@
 			SyncEvery: int64(d.SyncMS) * millis, Reads: d.Reads, Flow: c.Flow, Link: c.Link,
 			Cleared: set.Family.PurgeDone, LongestTx: c.Limits.LongestTxn.Microseconds(),
 			BlindFrom: blindFrom.Microseconds()},
-	}, bodies, r.log)
-	r.front.Use(r.shelf)
+	}, r.bodies, r.log)
+	r.shelf.Store(own)
+	r.front.Use(own)
 	return nil
 }
 
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -164,18 +164,19 @@
 }
 
 // Resume goes on behind an event up to which another generation of this router has
-// followed the board, with the list as it stood then. Where this one has come
-// further already, nothing changes.
+// followed the board, with the list as it stood then; where this one has come
+// further already, with its own. The sink is told the whole list in any case.
 func (f *Follower) Resume(rev int64, list []core.Server) {
-	if rev < f.rev || len(list) == 0 {
-		return
+	if rev >= f.rev && len(list) > 0 {
+		f.rev, f.whole, f.odd = rev, true, 0
+		clear(f.list)
+		for _, s := range list {
+			f.list[s.Server] = s
+		}
 	}
-	f.rev, f.whole, f.odd = rev, true, 0
-	clear(f.list)
-	for _, s := range list {
-		f.list[s.Server] = s
+	if _, list = f.Known(); len(list) > 0 {
+		f.sink.Members("snapshot", list)
 	}
-	f.sink.Members("snapshot", list)
 }
 
 // Run polls the board at an address until the context ends; run again at another,
--- /dev/null
+++ b/internal/change/diff.go
@@ -0,0 +1,131 @@
+package change
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// How a key changes.
+type How uint8
+
+// Ways for a key to change.
+const (
+	Live     How = iota // while the router runs, as by SIGHUP
+	HandOver            // by a new generation
+	Never               // not on this router: it would be another one
+	Unheard             // it means nothing for a change: drawn or told anew at each start
+)
+
+var howNames = [...]string{"live", "hand-over", "not at all", "at each start"}
+
+func (h How) String() string { return howNames[h] }
+
+// ways say of keys how they change, the first that fits; what stands in none changes
+// by hand-over.
+var ways = []struct {
+	prefix string
+	how    How
+}{
+	{"config.name", Never}, {"config.listen", Never}, {"config.seed", Unheard}, {"config.known", Unheard}, {"config.board", Live},
+	{"config.limits.", Never}, // the machine's: the keeper has divided them
+	{"operator.keep.folder", Never}, {"operator.members.name", Never}, {"operator.members.listen", Never},
+	{"operator.gateway.name", Never}, {"operator.gateway.listen", Never},
+}
+
+// HowOf tells how a key changes.
+func HowOf(key string) How {
+	for _, w := range ways {
+		if strings.HasPrefix(key, w.prefix) {
+			return w.how
+		}
+	}
+	return HandOver
+}
+
+// Change is of one key. Old or New is "" where it is not set.
+type Change struct {
+	Key, Old, New string
+	How           How
+}
+
+func (c Change) String() string {
+	return fmt.Sprintf("%s: %s, was %s (%v)", c.Key, cmp.Or(c.New, "not set"), cmp.Or(c.Old, "not set"), c.How)
+}
+
+// Diff names the keys in which flat settings differ, sorted.
+func Diff(old, now map[string]string) (list []Change) {
+	keys := map[string]bool{}
+	for k := range old {
+		keys[k] = true
+	}
+	for k := range now {
+		keys[k] = true
+	}
+	for _, k := range slices.Sorted(maps.Keys(keys)) {
+		if how := HowOf(k); old[k] != now[k] && how != Unheard {
+			list = append(list, Change{k, old[k], now[k], how})
+		}
+	}
+	return list
+}
+
+// Verdict is the way that the hardest of the changes takes. ok: it can be taken.
+func Verdict(list []Change) (how How, ok bool) {
+	for _, c := range list {
+		how = max(how, c.How)
+	}
+	return how, how != Never
+}
+
+// ownKeys are a router's own: those of others with the same settings differ.
+var ownKeys = []string{"config.name", "config.listen", "config.seed", "config.known", "config.board", "config.settings.Rank", "config.settings.Zone",
+	"operator.members.name", "operator.members.listen", "operator.members.place", "operator.members.peers", "operator.gateway.name",
+	"operator.gateway.listen", "operator.gateway.cert", "operator.gateway.key", "operator.keep.folder", "operator.metrics.file",
+	"operator.disk.path", "operator.gateway.status_file"}
+
+// Digest of flat settings, the same at all routers that shall act alike.
+func Digest(flat map[string]string) uint64 {
+	d := xxhash.New()
+	for _, k := range slices.Sorted(maps.Keys(flat)) {
+		if slices.ContainsFunc(ownKeys, func(p string) bool { return k == p || strings.HasPrefix(k, p+".") || strings.HasPrefix(k, p+"[") }) {
+			continue
+		}
+		d.WriteString(k)
+		d.WriteString("=")
+		d.WriteString(flat[k])
+		d.WriteString("\n")
+	}
+	return d.Sum64()
+}
+
+// Flatten writes nested settings as keys with dots and places. More than mostKeys
+// are an error.
+func Flatten(prefix string, v any, out map[string]string) error {
+	const mostKeys = 50_000
+	if len(out) > mostKeys {
+		return fmt.Errorf("%s: more than %d keys", prefix, mostKeys)
+	}
+	switch x := v.(type) {
+	case map[string]any:
+		for k, e := range x {
+			if err := Flatten(prefix+"."+k, e, out); err != nil {
+				return err
+			}
+		}
+	case []any:
+		for i, e := range x {
+			if err := Flatten(fmt.Sprintf("%s[%d]", prefix, i), e, out); err != nil {
+				return err
+			}
+		}
+	case nil:
+	default:
+		out[prefix] = fmt.Sprint(x)
+	}
+	return nil
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -92,6 +92,18 @@
 // Ready lets the health check pass; true: it did not before.
 func (f *Front) Ready() bool { return f.ready.CompareAndSwap(false, true) }
 
+// Listed tells whether the health check passes.
+func (f *Front) Listed() bool { return f.ready.Load() }
+
+// Linger waits until clients that are to come back on new connections have gone: the
+// idle ones close theirs, or ask once more. No longer than the time.
+func (f *Front) Linger(within time.Duration) {
+	const every = 50 * time.Millisecond
+	for until := time.Now().Add(within); f.Clients() > 0 && time.Now().Before(until); {
+		time.Sleep(every)
+	}
+}
+
 // Attend notices standstills of the process until stop is closed.
 func (f *Front) Attend(stop <-chan struct{}) {
 	every := time.NewTicker(standstill.Every * time.Microsecond)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,16 @@
 	}
 }
 
+// Deafen takes no further connections of peers: another generation of this router
+// does, on the same socket.
+func (g *Gateway) Deafen() { g.l.Close() }
+
+// Idle tells whether nothing is across, either way.
+func (g *Gateway) Idle() bool {
+	s := g.Status()
+	return s.Out == 0 && s.In == 0
+}
+
 // Close ends all connections. What is across ends as with a cut link.
 func (g *Gateway) Close() {
 	g.stop()
--- /dev/null
+++ b/internal/generation/generation.go
@@ -0,0 +1,320 @@
+// Package generation is a router's side of a change: the connection to its keeper,
+// the place that only one process has, and the carrying out of what package change
+// decides. It finds a new keeper when the old one dies.
+package generation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"quilldoor/internal/change"
+	"quilldoor/internal/handover"
+)
+
+// Host is the router that is a generation.
+type Host interface {
+	// Own takes what one generation owns, and accepts clients. State is what the
+	// predecessor knew, nil at a start from nothing; mine: it is what Disown told, and
+	// another generation has served since. Hold: somebody may have spent this router's
+	// part of cold servers' budgets meanwhile.
+	Own(state *handover.State, mine, hold bool) error
+	// Disown accepts nothing more, lets all of that go, and tells what is known.
+	Disown() *handover.State
+	Bound(change.Use)
+	Beside(outs map[string][3]float64)
+	Reload()
+	Beat() (ends change.Ends, outs map[string][3]float64, txns int)
+	Ready() bool
+}
+
+// What the keeper hands down: the folder, the generation's number, the sockets'
+// names; descriptors stand in their order from firstFD on.
+const (
+	EnvFolder     = "QUILLDOOR_KEEP"
+	EnvGeneration = "QUILLDOOR_GENERATION"
+	EnvSockets    = "QUILLDOOR_SOCKETS"
+	EnvProgram    = "QUILLDOOR_PROGRAM" // its digest
+	firstFD       = 3                   // the connection to the keeper, then the sockets
+)
+
+// Names of what lies in a keeper's folder.
+const (
+	SocketName = "keep.sock"
+	PlaceName  = "place"
+)
+
+// Generation is this process as its keeper knows it.
+type Generation struct {
+	Number  uint64
+	Sockets map[string]*os.File // by name: "listen" at least
+
+	folder string
+	names  []string
+	conn   *handover.Conn
+	place  *os.File
+	held   bool
+	log    *logrus.Entry
+	start  time.Time
+	part   *change.Part
+	state  *handover.State // of the predecessor, or one's own from before
+	mine   bool            // it is one's own
+	hold   bool
+	told   bool // that it is ready
+	lastIn string
+}
+
+// Inherit takes over what a keeper has handed down; nil without one.
+func Inherit(env func(string) string) (*Generation, error) {
+	folder := env(EnvFolder)
+	if folder == "" {
+		return nil, nil
+	}
+	n, err := strconv.ParseUint(env(EnvGeneration), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", EnvGeneration, err)
+	}
+	g := &Generation{Number: n, Sockets: map[string]*os.File{}, folder: folder, names: strings.Split(env(EnvSockets), ","), start: time.Now(), part: change.NewPart()}
+	if g.conn, err = handover.FromFile(os.NewFile(firstFD, "keeper")); err != nil {
+		return nil, fmt.Errorf("keeper: %w", err)
+	}
+	for i, name := range g.names {
+		unix.CloseOnExec(firstFD + 1 + i)
+		g.Sockets[name] = os.NewFile(uintptr(firstFD+1+i), name)
+	}
+	if g.place, err = os.OpenFile(filepath.Join(folder, PlaceName), os.O_CREATE|os.O_RDWR, 0o600); err != nil {
+		return nil, fmt.Errorf("place: %w", err)
+	}
+	return g, nil
+}
+
+// Listener makes one of an inherited socket.
+func (g *Generation) Listener(name string) (net.Listener, error) {
+	f := g.Sockets[name]
+	if f == nil {
+		return nil, fmt.Errorf("the keeper has handed down no socket for %s", name)
+	}
+	return net.FileListener(f)
+}
+
+// UDP makes a socket for datagrams of an inherited one.
+func (g *Generation) UDP(name string) (*net.UDPConn, error) {
+	f := g.Sockets[name]
+	if f == nil {
+		return nil, fmt.Errorf("the keeper has handed down no socket for %s", name)
+	}
+	c, err := net.FilePacketConn(f)
+	if err != nil {
+		return nil, err
+	}
+	return c.(*net.UDPConn), nil
+}
+
+func (g *Generation) now() int64 { return time.Since(g.start).Microseconds() }
+
+// Times of the connection to the keeper.
+const (
+	beatEvery  = 100 * time.Millisecond
+	placeEvery = 3 * time.Millisecond   // while it is wanted
+	callEvery  = 100 * time.Millisecond // for a keeper, while there is none
+	soon       = 5 * time.Millisecond   // until it is ready
+)
+
+// Run does what the keeper says until the generation has ended what it has to: it
+// returns when the router is to drain and end. Term is a wish of the system's for
+// that. An error: it could not take what it was told to own.
+func (g *Generation) Run(ctx context.Context, host Host, term <-chan os.Signal, log *logrus.Entry) error {
+	g.log = log.WithField("generation", g.Number)
+	words := make(chan *handover.Word, 16) // nil: the connection has ended
+	listen := func(c *handover.Conn) {
+		for {
+			w, err := c.Hear()
+			if err != nil {
+				w = nil
+			}
+			select {
+			case words <- w:
+			case <-ctx.Done():
+				return
+			}
+			if w == nil {
+				return
+			}
+		}
+	}
+	g.say(&handover.Word{Kind: handover.Hello, Format: handover.Format, Generation: g.Number, PID: os.Getpid()})
+	go listen(g.conn)
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	called := time.Now()
+	for {
+		var do []change.PartEffect
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-term:
+			g.log.WithField("signal", s.String()).Info("shutting down")
+			do = g.part.Handle(g.now(), change.ToEnd)
+		case w := <-words:
+			do = g.heard(host, w)
+		case <-beat.C:
+			ends, outs, txns := host.Beat()
+			g.say(&handover.Word{Kind: handover.Beat, Ends: ends, Outs: outs, Txns: txns, Part: g.part.State})
+			continue
+		case <-wake.C:
+			if do = g.part.Tick(g.now()); do == nil && g.part.State.Wants() && g.take() {
+				do = g.part.Handle(g.now(), change.Free)
+			}
+			if !g.told && host.Ready() {
+				g.told = true
+				g.say(&handover.Word{Kind: handover.Ready, Generation: g.Number})
+			}
+			if g.conn == nil && time.Since(called) >= callEvery {
+				called = time.Now()
+				if g.call() {
+					go listen(g.conn)
+				}
+			}
+		}
+		if over, err := g.carryOut(host, do); over || err != nil {
+			return err
+		}
+		next := callEvery
+		switch {
+		case g.part.State.Wants():
+			next = placeEvery
+		case !g.told:
+			next = soon
+		case g.part.Due() > 0:
+			next = min(next, time.Duration(max(g.part.Due()-g.now(), 1))*time.Microsecond)
+		}
+		wake.Reset(next)
+	}
+}
+
+// inputs of words that only tell the part.
+var inputs = map[handover.Kind]change.PartInput{handover.Own: change.ToOwn, handover.Quiet: change.ToQuiet, handover.Taken: change.ToTaken,
+	handover.Settle: change.ToSettle, handover.Resume: change.ToResume, handover.End: change.ToEnd}
+
+func (g *Generation) heard(host Host, w *handover.Word) []change.PartEffect {
+	if w == nil {
+		if g.conn != nil {
+			g.conn.Close()
+			g.conn = nil
+			g.log.WithField("part", g.part.State.String()).Warn("keeper lost")
+		}
+		return g.part.Handle(g.now(), change.Lost)
+	}
+	switch w.Kind {
+	case handover.Reload:
+		host.Reload()
+	case handover.Bound:
+		host.Bound(w.Bound)
+	case handover.Beside:
+		host.Beside(w.Outs)
+	case handover.Own, handover.Resume:
+		if w.State != nil {
+			g.state, g.mine = w.State, false
+		}
+		g.hold = w.Hold
+	}
+	in, known := inputs[w.Kind]
+	if !known {
+		return nil
+	}
+	return g.part.Handle(g.now(), in)
+}
+
+func (g *Generation) carryOut(host Host, do []change.PartEffect) (over bool, err error) {
+	for _, e := range do {
+		g.log.WithFields(logrus.Fields{"part": g.part.State.String(), "effect": e.String()}).Debug("change")
+		switch e {
+		case change.Accept:
+			if err := host.Own(g.state, g.mine, g.hold); err != nil {
+				g.log.WithError(err).Error("change: what this generation is to own could not be had")
+				return false, err
+			}
+			g.log.WithField("part", g.part.State.String()).Info("change: this generation serves")
+		case change.Stop:
+			g.state, g.mine, g.hold = host.Disown(), true, true
+			g.letGo()
+			g.log.WithField("part", g.part.State.String()).Info("change: this generation takes nothing new")
+		case change.LetGo:
+			g.letGo()
+		case change.Drain:
+			return true, nil
+		case change.TellReleased:
+			g.say(&handover.Word{Kind: handover.Released, Generation: g.Number, State: g.state})
+		case change.TellAccepting:
+			g.say(&handover.Word{Kind: handover.Accepting, Generation: g.Number})
+		case change.TellDenied:
+			g.say(&handover.Word{Kind: handover.Denied, Generation: g.Number})
+		case change.TellSettled:
+			g.say(&handover.Word{Kind: handover.Settled, Generation: g.Number})
+		}
+	}
+	return false, nil
+}
+
+// say tells the keeper. Without one nothing is lost: a new one asks.
+func (g *Generation) say(w *handover.Word) {
+	if g.conn != nil && g.conn.Say(w) != nil {
+		g.conn.Close() // the reader notices
+	}
+}
+
+// take tries to get the place. It stays with this process until it lets go, or ends.
+func (g *Generation) take() bool {
+	if !g.held {
+		g.held = unix.Flock(int(g.place.Fd()), unix.LOCK_EX|unix.LOCK_NB) == nil
+	}
+	return g.held
+}
+
+func (g *Generation) letGo() {
+	if g.held {
+		unix.Flock(int(g.place.Fd()), unix.LOCK_UN)
+		g.held = false
+	}
+}
+
+// call looks for a keeper, and gives it the sockets.
+func (g *Generation) call() bool {
+	sock, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: filepath.Join(g.folder, SocketName), Net: "unix"})
+	if err != nil {
+		if !errors.Is(err, unix.ECONNREFUSED) && !errors.Is(err, os.ErrNotExist) && g.lastIn != err.Error() {
+			g.lastIn = err.Error()
+			g.log.WithError(err).Warn("no keeper to be found")
+		}
+		return false
+	}
+	c := handover.NewConn(sock)
+	var files []*os.File
+	names := slices.Clone(g.names)
+	for _, name := range names {
+		files = append(files, g.Sockets[name])
+	}
+	if err := c.Say(&handover.Word{Kind: handover.Hello, Format: handover.Format, Generation: g.Number, PID: os.Getpid(), Part: g.part.State,
+		WasSettled: g.part.Settled(), Sockets: names}, files...); err != nil {
+		c.Close()
+		return false
+	}
+	g.conn = c
+	g.log.Info("keeper found again")
+	if g.told {
+		g.say(&handover.Word{Kind: handover.Ready, Generation: g.Number})
+	}
+	return true
+}
--- /dev/null
+++ b/internal/handover/word.go
@@ -0,0 +1,310 @@
+// Package handover has the words between a keeper and the generations of a router
+// that it keeps, and the file that outlasts them. Words go over a Unix stream
+// socket: 4 bytes of length, big endian, and a CBOR map (RFC 8949) with small keys.
+// Unknown keys are passed over and missing ones are zero, so that texts of different
+// age can talk; docs/change.md has a page on it.
+package handover
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+
+	"quilldoor/internal/change"
+	"quilldoor/internal/members"
+	"quilldoor/logic"
+)
+
+// Format is that of the words. A keeper refuses a generation that names none.
+const Format = 1
+
+// Kind of a word.
+type Kind uint8
+
+// Kinds of words. Of the keeper: Own to Bound; of a generation: Hello to Beat; of a
+// tool: Apply to Status, answered by Report.
+const (
+	Own       Kind = 1 + iota // serve; with State: in the place of who had it
+	Quiet                     // take nothing new, hand over
+	Taken                     // the successor serves
+	Settle                    // the trial is over
+	Resume                    // serve again
+	End                       // answer what there is, then end
+	Reload                    // read the settings again, as by SIGHUP
+	Bound                     // Memory and Descriptors are the generation's part from now on
+	Beside                    // Outs of the other generation
+	Hello                     // the first word: Generation, Format; an orphan's with State of its part, and its sockets
+	Ready                     // it could serve
+	Released                  // it takes nothing new and holds nothing that one generation holds; with State
+	Accepting                 // it serves
+	Denied                    // it did not get the place
+	Settled                   //
+	Beat                      // Ends, Outs
+	Apply                     // Program, Config, Operator
+	Back                      //
+	Status                    //
+	Report                    // Note; Over: the last one
+	lastKind  = Report
+)
+
+// Word is what is said.
+type Word struct {
+	Kind       Kind                  `cbor:"1,keyasint"`
+	Format     int                   `cbor:"2,keyasint,omitempty"`
+	Generation uint64                `cbor:"3,keyasint,omitempty"`
+	State      *State                `cbor:"4,keyasint,omitempty"`
+	Ends       change.Ends           `cbor:"5,keyasint,omitempty"`
+	Outs       map[string][3]float64 `cbor:"6,keyasint,omitempty"`
+	Bound      change.Use            `cbor:"7,keyasint,omitempty"`
+	Part       change.PartState      `cbor:"8,keyasint,omitempty"`
+	WasSettled bool                  `cbor:"9,keyasint,omitempty"`
+	PID        int                   `cbor:"10,keyasint,omitempty"`
+	Sockets    []string              `cbor:"11,keyasint,omitempty"` // what the descriptors that come along are
+	Program    string                `cbor:"12,keyasint,omitempty"`
+	Config     string                `cbor:"13,keyasint,omitempty"`
+	Operator   string                `cbor:"14,keyasint,omitempty"`
+	Note       string                `cbor:"15,keyasint,omitempty"`
+	Over       bool                  `cbor:"16,keyasint,omitempty"`
+	OK         bool                  `cbor:"17,keyasint,omitempty"`
+	FellBack   bool                  `cbor:"18,keyasint,omitempty"`
+	Standing   *Standing             `cbor:"19,keyasint,omitempty"`
+	Txns       int                   `cbor:"20,keyasint,omitempty"`
+	Hold       bool                  `cbor:"21,keyasint,omitempty"` // of Own and Resume: somebody may have spent the router's part of cold budgets
+}
+
+// State is what a generation hands over.
+type State struct {
+	Rev     int64          `cbor:"1,keyasint,omitempty"` // of the notice board
+	Servers []Server       `cbor:"2,keyasint,omitempty"`
+	Learned *logic.Learned `cbor:"3,keyasint,omitempty"`
+	Baton   *members.Baton `cbor:"4,keyasint,omitempty"`
+	Purges  []Purge        `cbor:"5,keyasint,omitempty"` // that peers of other sites are told of
+}
+
+// Server is a line of the list.
+type Server struct {
+	Server   string  `cbor:"1,keyasint"`
+	Zone     string  `cbor:"2,keyasint,omitempty"`
+	Kind     string  `cbor:"3,keyasint,omitempty"`
+	Cell     int     `cbor:"4,keyasint,omitempty"`
+	State    string  `cbor:"5,keyasint"`
+	Weight   float64 `cbor:"6,keyasint,omitempty"`
+	Born     int64   `cbor:"7,keyasint,omitempty"`
+	Endpoint string  `cbor:"8,keyasint"`
+}
+
+// Purge is one that may still bind.
+type Purge struct {
+	_      struct{} `cbor:",toarray"`
+	Object string
+	Group  int64
+	At     int64
+}
+
+// Standing is what a keeper tells of itself.
+type Standing struct {
+	State      string    `cbor:"1,keyasint" json:"state"`
+	SinceMS    int64     `cbor:"2,keyasint" json:"since_ms"`
+	Serving    *Process  `cbor:"3,keyasint,omitempty" json:"serving,omitempty"`
+	Next       *Process  `cbor:"4,keyasint,omitempty" json:"next,omitempty"`
+	Settled    *Manifest `cbor:"5,keyasint,omitempty" json:"settled,omitempty"`
+	Previous   *Manifest `cbor:"6,keyasint,omitempty" json:"previous,omitempty"`
+	Last       string    `cbor:"7,keyasint,omitempty" json:"last,omitempty"` // what became of the last change
+	Lasting    bool      `cbor:"8,keyasint,omitempty" json:"lasting"`        // the file could be written
+	KeeperPID  int       `cbor:"9,keyasint,omitempty" json:"keeper_pid"`
+	Restarts   int       `cbor:"10,keyasint,omitempty" json:"restarts"` // of the settled generation, unasked
+	LastFallMS int64     `cbor:"11,keyasint,omitempty" json:"last_fall_ms"`
+	MostMB     int       `cbor:"12,keyasint,omitempty" json:"most_mb"` // of all processes together, since the keeper began
+	MostFDs    int       `cbor:"13,keyasint,omitempty" json:"most_descriptors"`
+}
+
+// Process is a running generation.
+type Process struct {
+	Generation  uint64      `cbor:"1,keyasint" json:"generation"`
+	PID         int         `cbor:"2,keyasint" json:"pid"`
+	Part        string      `cbor:"3,keyasint" json:"part"`
+	MemoryMB    int         `cbor:"4,keyasint,omitempty" json:"memory_mb"`
+	Descriptors int         `cbor:"5,keyasint,omitempty" json:"descriptors"`
+	Ends        change.Ends `cbor:"6,keyasint,omitempty" json:"ends"`
+	BeatMS      int64       `cbor:"7,keyasint,omitempty" json:"beat_ms"` // since its last word
+}
+
+// MostWord bounds a word: a state of some thousand servers.
+const MostWord = 8 << 20
+
+// Errors of connections.
+var (
+	ErrLong   = errors.New("handover: a word longer than 8 MB")
+	ErrBroken = errors.New("handover: not a word")
+)
+
+var decoding = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 100_000, MaxMapPairs: 100_000, MaxNestedLevels: 12, IndefLength: cbor.IndefLengthForbidden,
+		TagsMd: cbor.TagsForbidden, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err) // the options stand above
+	}
+	return m
+}()
+
+// Decode reads a word's payload.
+func Decode(b []byte) (*Word, error) {
+	w := new(Word)
+	if err := decoding.Unmarshal(b, w); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	if w.Kind == 0 {
+		return nil, ErrBroken
+	}
+	return w, nil
+}
+
+// Conn carries words. Say may be called by any goroutine, Hear by one.
+type Conn struct {
+	sock *net.UnixConn
+	mu   sync.Mutex
+	fds  []int // that came along, not yet taken
+}
+
+// NewConn takes a socket over.
+func NewConn(sock *net.UnixConn) *Conn { return &Conn{sock: sock} }
+
+// FromFile takes over a socket that a parent has handed down.
+func FromFile(f *os.File) (*Conn, error) {
+	defer f.Close()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, err
+	}
+	sock, ok := c.(*net.UnixConn)
+	if !ok {
+		c.Close()
+		return nil, fmt.Errorf("handover: %s is no Unix socket", f.Name())
+	}
+	return NewConn(sock), nil
+}
+
+// sayWithin is how long a word may take to be taken in: who does not read may be
+// stopped, and nobody waits for it.
+const sayWithin = 500 * time.Millisecond
+
+// Say sends a word; sockets go along. A word that is not taken in whole ends the
+// connection, since what follows could not be read.
+func (c *Conn) Say(w *Word, sockets ...*os.File) error {
+	p, err := cbor.Marshal(w)
+	if err != nil {
+		return err
+	}
+	if len(p) > MostWord {
+		return ErrLong
+	}
+	b := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(p)), uint32(len(p)))
+	b = append(b, p...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sock.SetWriteDeadline(time.Now().Add(sayWithin))
+	if len(sockets) > 0 {
+		var fds []int
+		for _, f := range sockets {
+			fds = append(fds, int(f.Fd())) // made by os.NewFile: it leaves the socket's mode alone
+		}
+		n, _, err := c.sock.WriteMsgUnix(b, unix.UnixRights(fds...), nil)
+		if b = b[n:]; err != nil {
+			c.sock.Close()
+			return err
+		}
+	}
+	if _, err := c.sock.Write(b); err != nil {
+		c.sock.Close()
+		return err
+	}
+	return nil
+}
+
+// Hear waits for the next word. Descriptors that came along stay for Sockets.
+func (c *Conn) Hear() (*Word, error) {
+	var head [4]byte
+	if err := c.full(head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > MostWord {
+		return nil, ErrLong
+	}
+	b := make([]byte, n)
+	if err := c.full(b); err != nil {
+		return nil, err
+	}
+	return Decode(b)
+}
+
+// full reads all of b, and keeps the descriptors that come along: a few at most.
+func (c *Conn) full(b []byte) error {
+	const most = 8
+	oob := make([]byte, unix.CmsgSpace(4*most))
+	for len(b) > 0 {
+		n, oobn, _, _, err := c.sock.ReadMsgUnix(b, oob)
+		if oobn > 0 {
+			if list, err := unix.ParseSocketControlMessage(oob[:oobn]); err == nil {
+				for i := range list {
+					if fds, err := unix.ParseUnixRights(&list[i]); err == nil {
+						c.fds = append(c.fds, fds...)
+					}
+				}
+			}
+			for len(c.fds) > most {
+				unix.Close(c.fds[0])
+				c.fds = c.fds[1:]
+			}
+		}
+		if b = b[n:]; err != nil {
+			return err
+		}
+		if n == 0 {
+			return io.EOF
+		}
+	}
+	return nil
+}
+
+// Sockets takes the descriptors that came along, by the names that the word gives.
+func (c *Conn) Sockets(names []string) map[string]*os.File {
+	out := map[string]*os.File{}
+	for i, fd := range c.fds {
+		unix.CloseOnExec(fd)
+		if i < len(names) {
+			out[names[i]] = os.NewFile(uintptr(fd), names[i])
+		} else {
+			unix.Close(fd)
+		}
+	}
+	c.fds = nil
+	return out
+}
+
+// Close ends the connection.
+func (c *Conn) Close() error { return c.sock.Close() }
+
+// Peer is the process at the other end.
+func (c *Conn) Peer() (pid int, err error) {
+	raw, err := c.sock.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var cred *unix.Ucred
+	if e := raw.Control(func(fd uintptr) { cred, err = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) }); e != nil {
+		return 0, e
+	}
+	if err != nil {
+		return 0, err
+	}
+	return int(cred.Pid), nil
+}
--- /dev/null
+++ b/internal/keeper/plan.go
@@ -0,0 +1,346 @@
+package keeper
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"quilldoor/internal/change"
+	"quilldoor/internal/handover"
+)
+
+// Checked is what a program says of settings: `check --json`. Unknown keys of a later
+// text are passed over.
+type Checked struct {
+	Format      int
+	Version     string
+	Name        string
+	MemoryMB    int
+	Descriptors int
+	LongestMS   int64
+	Sockets     map[string]string
+	Flat        map[string]string
+	Digest      uint64 `json:",string"`
+}
+
+// platformKeys are always taken from the platform's own file: they are new at each
+// start, or the machine's.
+var platformKeys = []string{"name", "listen", "seed", "board", "known", "limits"}
+
+// merge writes the configuration that a generation is started with.
+func (k *Keeper) merge(m *handover.Manifest, seed string, bound change.Use) (string, error) {
+	var own, platform map[string]json.RawMessage
+	if err := readJSON(m.Config, &own); err != nil {
+		return "", err
+	}
+	if err := readJSON(k.Platform, &platform); err != nil {
+		return "", err
+	}
+	for _, key := range platformKeys {
+		if delete(own, key); platform[key] != nil {
+			own[key] = platform[key]
+		}
+	}
+	limits := map[string]any{}
+	json.Unmarshal(own["limits"], &limits)
+	if bound != (change.Use{}) {
+		limits["memory_mb"], limits["sockets"] = bound.MemoryMB, bound.Descriptors
+	}
+	own["limits"], _ = json.Marshal(limits)
+	own["seed"], _ = json.Marshal(seed)
+	text, err := json.Marshal(own)
+	if err != nil {
+		return "", err
+	}
+	path := k.path(strconv.FormatUint(m.Generation, 10), "run.json")
+	return path, handover.Put(path, text)
+}
+
+func readJSON(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+func seed() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return strconv.FormatUint(binary.LittleEndian.Uint64(b[:]), 16)
+}
+
+// prepare makes a generation's folder: copies of its settings, and what it is.
+func (k *Keeper) prepare(n uint64, program, config, own string) (*handover.Manifest, *Checked, error) {
+	program, err := filepath.Abs(program)
+	if err != nil {
+		return nil, nil, err
+	}
+	folder := k.path(strconv.FormatUint(n, 10))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, nil, err
+	}
+	m := &handover.Manifest{Generation: n, Program: program, Config: filepath.Join(folder, configName), Operator: filepath.Join(folder, ownName)}
+	for _, f := range []struct{ from, to string }{{config, m.Config}, {own, m.Operator}} {
+		text, err := os.ReadFile(f.from)
+		if err != nil && !(f.from == "" || f.from == own && errors.Is(err, fs.ErrNotExist)) {
+			return nil, nil, err
+		}
+		const most = 16 << 20
+		if len(text) > most {
+			return nil, nil, fmt.Errorf("%s: longer than %d MB", f.from, most>>20)
+		}
+		if err := handover.Put(f.to, text); err != nil {
+			return nil, nil, err
+		}
+	}
+	if m.ProgramSum, err = handover.Sum(program); err != nil {
+		return nil, nil, fmt.Errorf("program: %w", err)
+	}
+	c, err := k.check(m)
+	if err != nil {
+		return nil, nil, err
+	}
+	m.Settings, m.Version = c.Digest, c.Version
+	if text, err := json.Marshal(c.Flat); err == nil {
+		err = handover.Put(filepath.Join(folder, flatName), text)
+	}
+	text, err := json.Marshal(m)
+	if err == nil {
+		err = handover.Put(filepath.Join(folder, manifestName), text)
+	}
+	return m, c, err
+}
+
+// manifest reads what a generation is.
+func (k *Keeper) manifest(n uint64) (*handover.Manifest, error) {
+	m := new(handover.Manifest)
+	if err := readJSON(k.path(strconv.FormatUint(n, 10), manifestName), m); err != nil {
+		return nil, err
+	}
+	if m.Generation != n || m.Program == "" {
+		return nil, fmt.Errorf("generation %d: its manifest is of another", n)
+	}
+	return m, nil
+}
+
+// check lets a generation's program read its settings.
+func (k *Keeper) check(m *handover.Manifest) (*Checked, error) {
+	const within, most = 9 * time.Second, 16 << 20 // sooner than the machine gives up
+	path, err := k.merge(m, "1", change.Use{})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithTimeout(context.Background(), within)
+	defer stop()
+	cmd := exec.CommandContext(ctx, m.Program, "check", "--json", "--config", path, "--operator", m.Operator)
+	cmd.WaitDelay = time.Second
+	cmd.Env = environment()
+	var out, said bounded
+	out.most, said.most = most, 4<<10
+	cmd.Stdout, cmd.Stderr = &out, &said
+	if err := cmd.Run(); err != nil {
+		text := strings.TrimSpace(said.String())
+		return nil, errors.New(cmp.Or(text, "check: "+err.Error()))
+	}
+	c := new(Checked)
+	if err := json.Unmarshal(out.Bytes(), c); err != nil || c.Format < 1 || c.Sockets["listen"] == "" {
+		return nil, fmt.Errorf("check: the program says nothing that a keeper can read (%v)", err)
+	}
+	return c, nil
+}
+
+// bounded keeps the first bytes of what is written.
+type bounded struct {
+	bytes.Buffer
+	most int
+}
+
+func (b *bounded) Write(p []byte) (int, error) {
+	b.Buffer.Write(p[:min(len(p), max(b.most-b.Len(), 0))])
+	return len(p), nil
+}
+
+// checkPlan prepares the change that is asked for, beside the loop.
+func (k *Keeper) checkPlan() {
+	p := k.plan
+	ask := p.manifest
+	n := k.file.Next
+	k.file.Next++
+	settled := k.file.Settled
+	p.manifest = nil
+	var old change.Use
+	if k.old != nil {
+		old = k.old.use
+	}
+	go func() {
+		program := cmp.Or(ask.Program, settled.Program)
+		m, c, err := k.prepare(n, program, cmp.Or(ask.Config, settled.Config), cmp.Or(ask.Operator, settled.Operator))
+		var diff []change.Change
+		if err == nil {
+			diff, err = k.differ(settled, c)
+		}
+		how, ok := change.Verdict(diff)
+		bound, room := change.Beside(k.all, old)
+		k.events <- func() {
+			if k.plan != p {
+				return // it took too long, and was refused
+			}
+			switch {
+			case err != nil:
+				p.note = err.Error()
+			case !ok:
+				p.note = "keys that can't change on this router: " + words(diff, change.Never)
+			case m.ProgramSum == settled.ProgramSum && len(diff) > 0 && how == change.Live:
+				p.live, p.note = true, words(diff, change.Live)
+				k.live(m)
+			case room != nil:
+				p.note = room.Error()
+			default:
+				p.manifest, p.bound = m, bound
+				k.say("checked: %s; %d MB and %d descriptors beside the present generation; %s", m.Version, bound.MemoryMB, bound.Descriptors, cmp.Or(words(diff, change.HandOver), "no key differs"))
+				k.feed(change.Checked)
+				return
+			}
+			k.feed(change.Refused)
+		}
+	}()
+}
+
+// differ names the keys in which settings differ from those that are settled.
+func (k *Keeper) differ(settled *handover.Manifest, c *Checked) ([]change.Change, error) {
+	was := map[string]string{}
+	if err := readJSON(k.path(strconv.FormatUint(settled.Generation, 10), flatName), &was); err != nil {
+		return nil, err
+	}
+	return change.Diff(was, c.Flat), nil
+}
+
+// words tells the changes of a kind, or of lesser ones.
+func words(diff []change.Change, most change.How) string {
+	const many = 12
+	var out []string
+	for _, d := range diff {
+		if d.How == most || most == change.HandOver && d.How == change.Live {
+			out = append(out, d.String())
+		}
+	}
+	if len(out) > many {
+		out = append(out[:many], fmt.Sprintf("and %d more", len(out)-many))
+	}
+	return strings.Join(out, "; ")
+}
+
+// live lets the settled generation run on with settings that differ in keys that
+// change while it runs.
+func (k *Keeper) live(m *handover.Manifest) {
+	for _, x := range []struct{ from, to string }{{m.Config, k.file.Settled.Config}} {
+		if text, err := os.ReadFile(x.from); err == nil {
+			handover.Put(x.to, text)
+		}
+	}
+	k.reload()
+}
+
+// reload lets the settled generation read again what can change while it runs.
+func (k *Keeper) reload() {
+	if k.old == nil {
+		return
+	}
+	if _, err := k.merge(k.old.manifest, k.old.seed, k.old.bound); err != nil {
+		k.Log.WithError(err).Error("keeper: new configuration refused, the old one stays")
+		return
+	}
+	k.old.say(&handover.Word{Kind: handover.Reload})
+}
+
+// say tells who waits how a change goes on.
+func (k *Keeper) say(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	k.Log.Info("keeper: " + text)
+	for _, c := range k.tools {
+		c.Say(&handover.Word{Kind: handover.Report, Note: text})
+	}
+}
+
+// tool does what a tool asks for.
+func (k *Keeper) tool(c *call) {
+	over := func(ok bool, format string, args ...any) {
+		c.conn.Say(&handover.Word{Kind: handover.Report, Note: fmt.Sprintf(format, args...), OK: ok, Over: true, Standing: k.standing()})
+		c.conn.Close()
+	}
+	switch w := c.word; w.Kind {
+	case handover.Status:
+		over(true, "")
+	case handover.Apply:
+		k.apply(c, &handover.Manifest{Program: w.Program, Config: w.Config, Operator: w.Operator}, over)
+	case handover.Back:
+		switch p := k.file.Previous; {
+		case k.machine.State == change.Steady && p == nil:
+			over(false, "there is no generation before the settled one")
+		case k.machine.State == change.Steady:
+			k.apply(c, &handover.Manifest{Program: p.Program, Config: p.Config, Operator: p.Operator}, over)
+		case k.plan != nil:
+			k.tools = append(k.tools, c.conn)
+			k.note("the operator wants the present generation back")
+			k.feed(change.Cancel)
+		default:
+			over(false, "nobody serves: %v", k.machine.State)
+		}
+	default:
+		over(false, "not a tool's word")
+	}
+}
+
+func (k *Keeper) apply(c *call, m *handover.Manifest, over func(bool, string, ...any)) {
+	if k.machine.Busy() {
+		over(false, "refused: %v", k.machine.State)
+		return
+	}
+	k.tools = append(k.tools, c.conn)
+	k.plan = &plan{manifest: m}
+	k.feed(change.Apply)
+}
+
+// standing is what the keeper tells of itself.
+func (k *Keeper) standing() *handover.Standing {
+	s := &handover.Standing{State: k.machine.State.String(), SinceMS: (k.now() - k.machine.Since()) / 1000, Settled: k.file.Settled, Previous: k.file.Previous,
+		Last: k.last, Lasting: k.lasting, KeeperPID: os.Getpid(), Restarts: max(k.restarts-1, 0), LastFallMS: k.fallMS, MostMB: k.most.MemoryMB, MostFDs: k.most.Descriptors}
+	of := func(p *proc) *handover.Process {
+		if p == nil {
+			return nil
+		}
+		return &handover.Process{Generation: p.manifest.Generation, PID: p.pid, Part: p.part.String(), MemoryMB: p.use.MemoryMB, Descriptors: p.use.Descriptors,
+			Ends: p.ends, BeatMS: time.Since(p.beatAt).Milliseconds()}
+	}
+	s.Serving, s.Next = of(k.old), of(k.new)
+	return s
+}
+
+// Settled are the flat settings of what a keeper's folder has as settled.
+func Settled(folder string) (map[string]string, error) {
+	f, err := handover.ReadFile(filepath.Join(folder, fileName))
+	if err != nil {
+		return nil, err
+	}
+	if f == nil {
+		return nil, fmt.Errorf("%s: no keeper has been here", folder)
+	}
+	flat := map[string]string{}
+	return flat, readJSON(filepath.Join(folder, strconv.FormatUint(f.Settled.Generation, 10), flatName), &flat)
+}
--- a/internal/members/baton.go
+++ b/internal/members/baton.go
@@ -36,7 +36,7 @@
 // takeOver goes on with a life. One that is doubled, or has left, is not gone on
 // with: the successor starts its own and outbids, as after any restart.
 func (n *Node) takeOver(b *Baton) {
-	if b.State != Alive && b.State != Joining || b.Inc > math.MaxUint32-2*skipIncs || b.N > math.MaxUint64-2*skipWords {
+	if b.State != Alive && b.State != Joining || b.Inc > math.MaxUint32-4*skipIncs || b.N > math.MaxUint64-4*skipWords {
 		return
 	}
 	n.self.ID, n.self.Inc, n.n, n.self.State = b.ID, b.Inc+skipIncs, b.N+skipWords, b.State
@@ -57,3 +57,10 @@
 	}
 	n.hot = n.hot[:0]
 }
+
+// Back readies a baton for the one who has handed it over, where the successor has
+// used it and failed.
+func (b *Baton) Back() {
+	b.Inc += 2 * skipIncs
+	b.N += 2 * skipWords
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,6 +27,14 @@
 	Metrics *Metrics `yaml:"metrics"`
 	Gateway *Gateway `yaml:"gateway"`
 	Members *Members `yaml:"members"`
+	Keep    *Keep    `yaml:"keep"`
+}
+
+// Keep lets a keeper change the router's program and settings under load.
+type Keep struct {
+	Folder string  `yaml:"folder"` // the keeper's own
+	ReadyS float64 `yaml:"ready_s"`
+	TrialS float64 `yaml:"trial_s"`
 }
 
 // Members lets the routers of a site know each other.
@@ -166,12 +174,33 @@
 			return err
 		}
 	}
+	if k := c.Keep; k != nil {
+		if err := k.check(); err != nil {
+			return err
+		}
+	}
 	if g := c.Gateway; g != nil {
 		return g.check()
 	}
 	return nil
 }
 
+func (k *Keep) check() error {
+	// A Unix socket's address holds 108 bytes.
+	const mostFolder = 80
+	if !filepath.IsAbs(k.Folder) || len(k.Folder) > mostFolder {
+		return yamlfile.Wrong("keep.folder", "not an absolute path of up to %d bytes", mostFolder)
+	}
+	k.ReadyS, k.TrialS = cmp.Or(k.ReadyS, 10), cmp.Or(k.TrialS, 30)
+	if !(k.ReadyS >= 0.1 && k.ReadyS <= 600) {
+		return yamlfile.Wrong("keep.ready_s", "%g is not within 0.1 and 600", k.ReadyS)
+	}
+	if !(k.TrialS >= 0.1 && k.TrialS <= 3600) {
+		return yamlfile.Wrong("keep.trial_s", "%g is not within 0.1 and 3600", k.TrialS)
+	}
+	return nil
+}
+
 func (m *Members) check() error {
 	const mostName, mostPeers = 64, 512
 	addr, err := netip.ParseAddrPort(m.Listen)
@@ -255,6 +284,9 @@
 	if !reflect.DeepEqual(c.Gateway, other.Gateway) {
 		keys = append(keys, "gateway")
 	}
+	if !reflect.DeepEqual(c.Keep, other.Keep) {
+		keys = append(keys, "keep")
+	}
 	if !reflect.DeepEqual(c.Members, other.Members) {
 		keys = append(keys, "members")
 	}
