Prove changes of generations on processes: many in a row, wrong ones, kills at each step

Need: a change must be safe whoever is killed, stopped or wrong in it.

Found by it and mended: counts of hops beside that a draining generation left behind, so that its successors refused; a keeper that panicked on a reset; a settled generation that a new keeper did not look for.

--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -86,6 +86,9 @@
 	if r.kept, err = generation.Inherit(os.Getenv); err != nil {
 		return err
 	}
+	if wrongly != nil {
+		wrongly("start", r)
+	}
 	r.core = core.New(&r.set, c.Seed, func() {
 		select {
 		case r.kick <- struct{}{}:
@@ -98,9 +101,6 @@
 	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": r.set.Zone,
 		"rules": len(r.set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
-	if wrongly != nil {
-		wrongly("start", r)
-	}
 	if r.kept == nil {
 		defer r.release()
 		if err := r.acquire(nil); err != nil {
@@ -123,9 +123,11 @@
 	go r.front.Attend(ctx.Done())
 	if r.kept != nil {
 		defer r.release()
-		if err := r.kept.Run(ctx, &owner{r, ctx, load}, term, r.log); err != nil {
+		o := &owner{r, ctx, load}
+		if err := r.kept.Run(ctx, o, term, r.log); err != nil {
 			return err
 		}
+		go r.kept.Beats(ctx, o)
 	} else {
 		r.accept()
 		if err := r.wait(ctx, term, hup, load); err != nil {
--- /dev/null
+++ b/internal/emulate/kept.go
@@ -0,0 +1,124 @@
+package emulate
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"quilldoor/internal/generation"
+	"quilldoor/internal/handover"
+	"quilldoor/internal/record"
+)
+
+// keptReady is how long a generation may take to get ready, seconds.
+const keptReady = 3
+
+// Kept are the routers of a run on sockets whose script has them kept, for whoever
+// changes them or does them harm. Its calls may come from any goroutine but the
+// run's own.
+type Kept struct{ *sockets }
+
+// Count is how many there are.
+func (k *Kept) Count() int { return len(k.routers) }
+
+// Folder of a router's keeper.
+func (k *Kept) Folder(i int) string { return filepath.Join(k.dir, fmt.Sprintf("k%d", i+1)) }
+
+// Operator is the router's operator's file.
+func (k *Kept) Operator(i int) string { return filepath.Join(k.dir, nameOf(i)+".yaml") }
+
+// Listen is where clients reach it.
+func (k *Kept) Listen(i int) string { return k.routers[i].listen }
+
+// Ask says a word to a keeper and waits for its last report.
+func (k *Kept) Ask(i int, w *handover.Word) (*handover.Word, error) {
+	return handover.Ask(filepath.Join(k.Folder(i), generation.SocketName), w, nil)
+}
+
+// Standing is what a keeper tells of itself.
+func (k *Kept) Standing(i int) (*handover.Standing, error) {
+	w, err := k.Ask(i, &handover.Word{Kind: handover.Status})
+	if err != nil {
+		return nil, err
+	}
+	if w.Standing == nil {
+		return nil, errors.New("a report without a standing")
+	}
+	return w.Standing, nil
+}
+
+// Until asks a keeper time and again until it stands as wanted.
+func (k *Kept) Until(i int, within time.Duration, want func(*handover.Standing) bool) (*handover.Standing, error) {
+	const every = 5 * time.Millisecond
+	var last *handover.Standing
+	var err error
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(every) {
+		if k.ctx.Err() != nil {
+			return last, k.ctx.Err()
+		}
+		var s *handover.Standing
+		if s, err = k.Standing(i); err == nil {
+			if last = s; want(s) {
+				return s, nil
+			}
+		}
+	}
+	return last, fmt.Errorf("router %d does not stand as wanted after %v: %+v, %v", i, within, last, err)
+}
+
+// Signal sends one to a process of a router. What it held when it was killed is no
+// longer its duty; what fell due while it stood still is told apart.
+func (k *Kept) Signal(i, pid int, s syscall.Signal) error {
+	done := make(chan error, 1)
+	k.send(func() {
+		kind := map[syscall.Signal]string{syscall.SIGKILL: "crashed", syscall.SIGSTOP: "router_stopped", syscall.SIGCONT: "router_woken"}[s]
+		if kind != "" {
+			k.Note(&record.Entry{Kind: kind, At: k.world.Now(), Router: i})
+		}
+		done <- syscall.Kill(pid, s)
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-k.ctx.Done():
+		return k.ctx.Err()
+	}
+}
+
+// Crashed notes that a process of a router has been, or will be, killed by its
+// keeper: what it holds is no longer its duty.
+func (k *Kept) Crashed(i int) {
+	k.send(func() { k.Note(&record.Entry{Kind: "crashed", At: k.world.Now(), Router: i}) })
+}
+
+// KillKeeper kills a router's keeper alone; its generations run on.
+func (k *Kept) KillKeeper(i int) error {
+	r := k.routers[i]
+	done := make(chan error, 1)
+	k.send(func() {
+		r.killed, r.groups = true, append(r.groups, r.cmd.Process.Pid)
+		done <- r.cmd.Process.Kill()
+	})
+	select {
+	case err := <-done:
+		<-r.ended
+		return err
+	case <-k.ctx.Done():
+		return k.ctx.Err()
+	}
+}
+
+// StartKeeper starts it again, on the same machine.
+func (k *Kept) StartKeeper(i int) error {
+	r := k.routers[i]
+	done := make(chan error, 1)
+	k.send(func() { done <- r.exec() })
+	select {
+	case err := <-done:
+		return err
+	case <-k.ctx.Done():
+		return k.ctx.Err()
+	}
+}
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -38,6 +38,9 @@
 		}
 		own.Gateway.Peers = append(own.Gateway.Peers, operator.Peer{Name: nameOf(x.id), Site: site(x), Addr: addr})
 	}
+	if f := &r.set.Fleet; f.Keep {
+		own.Keep = &operator.Keep{Folder: (&Kept{r.sockets}).Folder(r.id), ReadyS: keptReady, TrialS: f.TrialS}
+	}
 	text, err := yaml.Marshal(own)
 	if err != nil {
 		return err
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -42,7 +42,9 @@
 	Late   int64 // on sockets: how late the model was at most, in microseconds
 
 	Cost    Cost     // on sockets: of all router processes
-	Excused int      // txns that fell due while their router stood still
+	Excused int      // txns that fell due while their router stood still, or whose process was killed
+	Broke   int      // on sockets: connections that ended without an answer, not by their client
+	Refused int      // on sockets: connections
 	Members *Members // nil: routers don't know each other
 }
 
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -170,8 +170,7 @@
 		case w := <-words:
 			do = g.heard(host, w)
 		case <-beat.C:
-			ends, outs, txns := host.Beat()
-			g.say(&handover.Word{Kind: handover.Beat, Ends: ends, Outs: outs, Txns: txns, Part: g.part.State})
+			g.beat(host)
 			continue
 		case <-wake.C:
 			if do = g.part.Tick(g.now()); do == nil && g.part.State.Wants() && g.take() {
@@ -204,6 +203,26 @@
 	}
 }
 
+func (g *Generation) beat(host Host) {
+	ends, outs, txns := host.Beat()
+	g.say(&handover.Word{Kind: handover.Beat, Ends: ends, Outs: outs, Txns: txns, Part: g.part.State})
+}
+
+// Beats goes on telling what is still out once Run has returned: the other
+// generation's limits are for both together.
+func (g *Generation) Beats(ctx context.Context, host Host) {
+	every := time.NewTicker(beatEvery)
+	defer every.Stop()
+	for {
+		g.beat(host)
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+		}
+	}
+}
+
 // inputs of words that only tell the part.
 var inputs = map[handover.Kind]change.PartInput{handover.Own: change.ToOwn, handover.Quiet: change.ToQuiet, handover.Taken: change.ToTaken,
 	handover.Settle: change.ToSettle, handover.Resume: change.ToResume, handover.End: change.ToEnd}
--- a/internal/handover/word.go
+++ b/internal/handover/word.go
@@ -217,10 +217,11 @@
 			fds = append(fds, int(f.Fd())) // made by os.NewFile: it leaves the socket's mode alone
 		}
 		n, _, err := c.sock.WriteMsgUnix(b, unix.UnixRights(fds...), nil)
-		if b = b[n:]; err != nil {
+		if err != nil {
 			c.sock.Close()
 			return err
 		}
+		b = b[n:]
 	}
 	if _, err := c.sock.Write(b); err != nil {
 		c.sock.Close()
@@ -265,10 +266,10 @@
 				c.fds = c.fds[1:]
 			}
 		}
-		if b = b[n:]; err != nil {
+		if err != nil {
 			return err
 		}
-		if n == 0 {
+		if b = b[n:]; n == 0 {
 			return io.EOF
 		}
 	}
@@ -293,6 +294,32 @@
 // Close ends the connection.
 func (c *Conn) Close() error { return c.sock.Close() }
 
+// Ask says a word to the keeper of a folder, and waits for its last report; those on
+// the way go to tell.
+func Ask(socket string, w *Word, tell func(string)) (*Word, error) {
+	sock, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: socket, Net: "unix"})
+	if err != nil {
+		return nil, fmt.Errorf("no keeper answers: %w", err)
+	}
+	c := NewConn(sock)
+	defer c.Close()
+	if err := c.Say(w); err != nil {
+		return nil, err
+	}
+	for {
+		r, err := c.Hear()
+		if err != nil {
+			return nil, fmt.Errorf("the keeper has gone: %w", err)
+		}
+		if r.Note != "" && tell != nil {
+			tell(r.Note)
+		}
+		if r.Over {
+			return r, nil
+		}
+	}
+}
+
 // Peer is the process at the other end.
 func (c *Conn) Peer() (pid int, err error) {
 	raw, err := c.sock.SyscallConn()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -285,7 +285,6 @@
 		case change.TryAgain:
 			k.new, k.machine = p, change.Adopted(k.Times, k.now(), true)
 			k.plan = &plan{manifest: p.manifest}
-			k.judge.Begin()
 		case change.Resume:
 			p.say(&handover.Word{Kind: handover.Resume, Hold: true})
 			fallthrough
@@ -467,6 +466,7 @@
 				k.feed(change.OldGone)
 				return
 			}
+			k.write()
 		case change.StartNew:
 			var err error
 			if k.new, err = k.launch(k.plan.manifest, k.plan.bound); err != nil {
@@ -484,7 +484,6 @@
 			k.old.say(&handover.Word{Kind: handover.Quiet})
 		case change.TakenOld:
 			k.old.say(&handover.Word{Kind: handover.Taken})
-			k.judge.Begin()
 		case change.ResumeOld:
 			k.state = nil
 			if k.old != nil {
@@ -523,7 +522,7 @@
 				k.leave(k.old, &handover.Word{Kind: handover.End})
 			}
 			k.old, k.new = k.new, nil
-			k.judge = change.Judge{}
+			k.judge.Follows()
 			k.tidy()
 		case change.EndAll:
 			for _, f := range k.sockets {
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -185,8 +185,9 @@
 	settled := k.file.Settled
 	p.manifest = nil
 	var old change.Use
-	if k.old != nil {
-		old = k.old.use
+	for _, x := range k.procs() { // those that still drain, too
+		old.MemoryMB += x.use.MemoryMB
+		old.Descriptors += x.use.Descriptors
 	}
 	go func() {
 		program := cmp.Or(ask.Program, settled.Program)
--- a/internal/keeper/proc.go
+++ b/internal/keeper/proc.go
@@ -196,7 +196,7 @@
 				}
 			}
 		}
-		if isOld && k.machine.State == change.Steady {
+		if isOld && k.new == nil {
 			k.judge.Old(k.now(), p.ends)
 		}
 		if isNew && k.machine.State == change.OnTrial {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -14,6 +14,7 @@
 //	purged      an editor's purge; told_purge: a router was told of it
 //	started, down, fell, stopped   of servers; router_down, router_up,
 //	            router_stopped, router_woken   of routers
+//	crashed     a process of a kept router was killed, another one serves
 //	trouble     of the script
 type Entry struct {
 	At       int64
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -80,6 +80,8 @@
 
 	Members     bool    `yaml:"members"` // routers know each other
 	WayMS       float64 `yaml:"way_ms"`  // one way between routers
+	Keep        bool    `yaml:"keep"`    // on sockets: each router has a keeper
+	TrialS      float64 `yaml:"trial_s"` // of its changes
 	WayJitterMS float64 `yaml:"way_jitter_ms"`
 }
 
@@ -169,7 +171,7 @@
 			TrunkMS: 7, FarMS: 30, ClientMS: 5, ParentLink: 1.3, ParentKeeps: 0.7, LedgerWork: 12, LedgerMS: 40,
 			LedgerRefuse: 0.85, LedgerStops: 2.5, LedgerStopS: 4, ColdFrom: 0.3, ColdS: 12, FallMultiple: 2, FallMS: 1000,
 			ParentColdFrom: 0.1, ParentColdS: 18, ReportMS: 300, ReportDelayMS: 120, ReportNoise: 0.06, BoardMS: 800,
-			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true, SiteMS: 20, WayMS: 0.3, WayJitterMS: 0.4},
+			DeathMS: 2000, DrainMS: 500, PurgeMS: 300, ClearedMS: 6000, ErrorShare: 0.001, SecondCopies: true, SiteMS: 20, WayMS: 0.3, WayJitterMS: 0.4, TrialS: 1},
 		Load: Load{TxnsPerS: 160, Videos: 0.54, Writes: 0.034, Objects: 3000, Skew: 0.9, LocalShare: 0.15, DriftS: 10, Retries: 2,
 			WaitMS: 150, Honour: 0.5, Patience: 0.8}}
 }
@@ -193,7 +195,7 @@
 		{"length_s", s.LengthS, 1, 24 * 3600}, {"settle_s", s.SettleS, 0, s.LengthS},
 		{"fleet.trunks", float64(f.Trunks), 1, 50}, {"fleet.offices", float64(f.Offices), 1, 200},
 		{"fleet.routers", float64(f.Routers), 1, 50}, {"fleet.caches", float64(f.Caches), 1, 200},
-		{"fleet.parents", float64(f.Parents), 0, 50}, {"fleet.cores", float64(f.Cores), 1, 1000},
+		{"fleet.trial_s", f.TrialS, 0.1, 600}, {"fleet.parents", float64(f.Parents), 0, 50}, {"fleet.cores", float64(f.Cores), 1, 1000},
 		{"fleet.slots_per_core", float64(f.SlotsPerCore), 1, 1000}, {"fleet.queue_per_core", float64(f.QueuePerCore), 0, 1000},
 		{"fleet.fills_per_core", float64(f.FillsPerCore), 1, 1000}, {"fleet.thrash", f.Thrash, 0, 1},
 		{"fleet.keeps_share", f.KeepsShare, 0, 1}, {"fleet.flow_kb_per_s", f.FlowKBPerS, 1, 1e6},
