--- a/cmd/quilldoor/change_test.go
+++ b/cmd/quilldoor/change_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"quilldoor/internal/emulate"
 	"quilldoor/internal/handover"
+	"quilldoor/internal/members"
 	"quilldoor/internal/script"
 )
 
@@ -293,6 +295,200 @@
 	return serves(k.Listen(0))
 }
 
+// Four routers of two sites with all that one process of a router owns: members, a
+// gateway, a disk tier, a metrics file. Each is changed three times, all at once,
+// while a purge comes and the sites are cut: the others hold each for one member that
+// never went, the folder is nobody's twice, every txn has one end.
+func TestChangeHandsAllOver(t *testing.T) {
+	r := changes(t, `
+settle_s: 1
+length_s: 13
+fleet: {offices: 2, routers: 2, trunks: 2, caches: 3, cores: 4, keep: true, trial_s: 1, members: true, sites: 2, site_ms: 5, disk_mb: 32, board_ms: 200, link_share: 0.3}
+load: {txns_per_s: 80, objects: 600, weights: [2, 0.5]}
+troubles:
+  - {kind: purge, at: 5, share: 0.6}
+  - {kind: site_cut, at: 6, for: 0.7}
+  - {kind: cut_board, at: 4, for: 2, share: 0.5}
+`, func(k *emulate.Kept) error {
+		time.Sleep(2 * time.Second) // they know each other
+		before := make([]*members.View, k.Count())
+		for i := range before {
+			var err error
+			if before[i], err = k.View(i); err != nil {
+				return err
+			}
+		}
+		ends := make(chan error, k.Count())
+		for i := range k.Count() {
+			go func() {
+				for n := range 3 {
+					w, err := k.Ask(i, &handover.Word{Kind: handover.Apply})
+					if err != nil || !w.OK {
+						ends <- fmt.Errorf("router %d, change %d: %v, %+v", i, n, err, w)
+						return
+					}
+				}
+				ends <- nil
+			}()
+		}
+		for range k.Count() {
+			if err := <-ends; err != nil {
+				return err
+			}
+		}
+		time.Sleep(time.Second)
+		for i := range before {
+			v, err := k.View(i)
+			if err != nil {
+				return err
+			}
+			if v.Self.ID != before[i].Self.ID || v.Self.Runs == nil || v.Self.Runs.Generation != 4 {
+				t.Errorf("router %d was life %v and is %v, %+v", i, before[i].Self.ID, v.Self.ID, v.Self.Runs)
+			}
+			for _, s := range v.Seen {
+				if s.State != members.Alive || s.Runs == nil || s.Runs.Generation != 4 || s.Runs.Settings != v.Self.Runs.Settings {
+					t.Errorf("router %d holds %s %v, %+v", i, s.Name, s.State, s.Runs)
+				}
+			}
+			text, err := os.ReadFile(k.Log(i))
+			if err != nil {
+				return err
+			}
+			for _, bad := range []string{"disk tier off", "members: dead", "members: left", "this one keeps quiet", "level=error"} {
+				if strings.Contains(string(text), bad) {
+					t.Errorf("router %d has logged %q", i, bad)
+				}
+			}
+			if got := strings.Count(string(text), "disk tier recovered"); got != 4 {
+				t.Errorf("router %d: its folder was opened %d times", i, got)
+			}
+		}
+		return nil
+	})
+	if r.Refused > 0 || r.Broke > 0 {
+		t.Errorf("%d connections refused, %d broken off", r.Refused, r.Broke)
+	}
+	if r.Members.CalledDead > 0 {
+		t.Errorf("called dead: %v", r.Members.DeadByAll)
+	}
+}
+
+// What a change is asked for and can't be, is live, or finds the folder harmed: it
+// says why, and the router serves on.
+func TestChangesRefused(t *testing.T) {
+	edit := func(path string, old, new string) (string, error) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return "", err
+		}
+		if !strings.Contains(string(text), old) {
+			return "", fmt.Errorf("no %s in %s", old, path)
+		}
+		to := filepath.Join(t.TempDir(), "changed")
+		return to, os.WriteFile(to, []byte(strings.Replace(string(text), old, new, 1)), 0o600)
+	}
+	changes(t, keptFleet+"load: {txns_per_s: 60, objects: 500}\nlength_s: 8\n", func(k *emulate.Kept) error {
+		for _, c := range []struct {
+			what     string
+			config   bool
+			old, new string
+			ok       bool
+			says     string
+			settled  uint64
+		}{
+			{"unknown key", false, "folder:", "colour: red\n  folder:", false, "colour", 1},
+			{"folder", false, "folder:", "folder: /nowhere/at/all #", false, "keep.folder", 1},
+			{"broken", true, `"settings"`, `"settings`, false, "", 1},
+			{"value", true, `"TargetMs":`, `"TargetMs":-`, false, "TargetMs", 1},
+			{"flow", true, `"flow_bytes_per_s":`, `"flow_bytes_per_s":1`, true, "is settled", 6},
+			{"new name", true, `"name":"n1"`, `"name":"n9"`, true, "", 7}, // the platform's counts: nothing differs
+		} {
+			w := &handover.Word{Kind: handover.Apply}
+			from, to := k.Operator(0), &w.Operator
+			if c.config {
+				from, to = k.Config(0), &w.Config
+			}
+			path, err := edit(from, c.old, c.new)
+			if err != nil {
+				return err
+			}
+			*to = path
+			got, err := k.Ask(0, w)
+			if err != nil {
+				return fmt.Errorf("%s: %w", c.what, err)
+			}
+			if got.OK != c.ok || !strings.Contains(got.Note, c.says) {
+				t.Errorf("%s: %+v", c.what, got)
+			}
+			if s, err := k.Standing(0); err != nil || s.Settled.Generation != c.settled {
+				t.Errorf("%s: %v, %+v", c.what, err, s)
+			}
+		}
+		// Two at once: one goes on, the other is refused.
+		first := make(chan *handover.Word, 1)
+		go func() {
+			w, _ := k.Ask(0, &handover.Word{Kind: handover.Apply})
+			first <- w
+		}()
+		if _, err := k.Until(0, 3*time.Second, func(s *handover.Standing) bool { return s.State != "steady" }); err != nil {
+			return err
+		}
+		if w, err := k.Ask(0, &handover.Word{Kind: handover.Apply}); err != nil || w.OK || !strings.Contains(w.Note, "refused") {
+			t.Errorf("the second: %v, %+v", err, w)
+		}
+		// Back while it is on trial.
+		if _, err := k.Until(0, 3*time.Second, func(s *handover.Standing) bool { return s.State == "on trial" }); err != nil {
+			return err
+		}
+		if w, err := k.Ask(0, &handover.Word{Kind: handover.Back}); err != nil || !w.FellBack {
+			t.Errorf("back: %v, %+v", err, w)
+		}
+		if w := <-first; w == nil || !w.FellBack {
+			t.Errorf("the first: %+v", w)
+		}
+		// A second keeper; a folder that takes no copies; a state file that can't be put.
+		cmd := exec.Command(os.Args[0], "keep", "--config", k.Config(0), "--operator", k.Operator(0))
+		cmd.Env = append(os.Environ(), "QUILLDOOR_TEST_MAIN=1")
+		if out, err := cmd.CombinedOutput(); err == nil || !strings.Contains(string(out), "another keeper") {
+			t.Errorf("a second keeper: %v, %s", err, out)
+		}
+		if err := os.WriteFile(filepath.Join(k.Folder(0), "9"), nil, 0o600); err != nil {
+			return err
+		}
+		if w, err := k.Ask(0, &handover.Word{Kind: handover.Apply}); err != nil || w.OK || w.FellBack {
+			t.Errorf("no room for copies: %v, %+v", err, w)
+		}
+		state := filepath.Join(k.Folder(0), "state.json")
+		if err := errors.Join(os.Remove(state), os.MkdirAll(filepath.Join(state, "x"), 0o700)); err != nil {
+			return err
+		}
+		if w, err := k.Ask(0, &handover.Word{Kind: handover.Apply}); err != nil || !w.OK || !strings.Contains(w.Note, "could not be written") {
+			t.Errorf("no state file: %v, %+v", err, w)
+		}
+		s, err := k.Standing(0)
+		if err != nil || s.Lasting || s.Settled.Generation != 10 {
+			t.Errorf("%v, %+v", err, s)
+		}
+		// SIGHUP to the keeper reaches the generation.
+		if err := syscall.Kill(s.KeeperPID, syscall.SIGHUP); err != nil {
+			return err
+		}
+		for end := time.Now().Add(2 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+			text, err := os.ReadFile(k.Log(0))
+			if err != nil {
+				return err
+			}
+			if strings.Contains(string(text), "new configuration in force") {
+				break
+			}
+			if time.Now().After(end) {
+				return errors.New("no new configuration after SIGHUP")
+			}
+		}
+		return serves(k.Listen(0))
+	})
+}
+
 // serves asks a router's health.
 func serves(listen string) error {
 	c, err := dialHTTP(listen)
--- a/cmd/quilldoor/keep.go
+++ b/cmd/quilldoor/keep.go
@@ -175,7 +175,7 @@
 	case !ok:
 		return errors.New("some of it can't change on this router")
 	case how == change.Live:
-		fmt.Println("all of it changes while the router runs")
+		fmt.Println("all of it changes while the router runs: put it into the platform's file and send the keeper SIGHUP")
 	default:
 		fmt.Println("it takes a new generation")
 	}
--- a/internal/emulate/kept.go
+++ b/internal/emulate/kept.go
@@ -9,6 +9,8 @@
 
 	"quilldoor/internal/generation"
 	"quilldoor/internal/handover"
+	"quilldoor/internal/memberlink"
+	"quilldoor/internal/members"
 	"quilldoor/internal/record"
 )
 
@@ -29,6 +31,17 @@
 // Operator is the router's operator's file.
 func (k *Kept) Operator(i int) string { return filepath.Join(k.dir, nameOf(i)+".yaml") }
 
+// Log is what the router's processes have logged, in a file.
+func (k *Kept) Log(i int) string { return filepath.Join(k.dir, nameOf(i)+".log") }
+
+// View is what a router holds of the others, by its own protocol.
+func (k *Kept) View(i int) (*members.View, error) {
+	return memberlink.Ask([]byte(membersKey), nameOf(i), k.routers[i].members)
+}
+
+// Config is the platform's configuration of a router.
+func (k *Kept) Config(i int) string { return k.routers[i].config() }
+
 // Listen is where clients reach it.
 func (k *Kept) Listen(i int) string { return k.routers[i].listen }
 
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -38,7 +38,13 @@
 		}
 		own.Gateway.Peers = append(own.Gateway.Peers, operator.Peer{Name: nameOf(x.id), Site: site(x), Addr: addr})
 	}
-	if f := &r.set.Fleet; f.Keep {
+	if n := r.set.Fleet.DiskMB; n > 0 {
+		own.Disk = &operator.Disk{Path: file(nameOf(r.id) + ".disk"), SizeMB: n}
+		if err := os.MkdirAll(own.Disk.Path, 0o700); err != nil {
+			return err
+		}
+	}
+	if f := &r.set.Fleet; f.Keep && !r.earlier() {
 		own.Keep = &operator.Keep{Folder: (&Kept{r.sockets}).Folder(r.id), ReadyS: keptReady, TrialS: f.TrialS}
 	}
 	text, err := yaml.Marshal(own)
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -35,6 +35,9 @@
 	Ready   func([]string) // told the routers' addresses once all are ready
 	Log     io.Writer      // what routers log; nil: kept only for the report of a death
 	Guests  bool           // requests that are none of the world's are served, too
+	// Earlier is the program of every second router, an earlier text of this
+	// repository that knows no keeper; "": Program.
+	Earlier string
 	// Drive is called beside the run where the script's routers are kept, once all are
 	// ready. The run goes on until it returns. Its error ends it.
 	Drive func(context.Context, *Kept) error
@@ -157,7 +160,7 @@
 			return nil, err
 		}
 	}
-	if f.Sites >= 2 || f.Members || f.Keep {
+	if f.Sites >= 2 || f.Members || f.Keep || f.DiskMB > 0 {
 		for _, r := range v.routers {
 			if err := r.operator(); err != nil {
 				return nil, err
@@ -657,20 +660,26 @@
 	return r.exec()
 }
 
+// earlier tells whether the router runs an earlier text.
+func (r *process) earlier() bool { return r.conf.Earlier != "" && r.id%2 == 1 }
+
 func (r *process) config() string { return filepath.Join(r.dir, fmt.Sprintf("n%d.json", r.id+1)) }
 
 // exec starts the program with the configuration that lies there.
 func (r *process) exec() error {
-	what := "serve"
-	if r.set.Fleet.Keep {
+	program, what := r.conf.Program, "serve"
+	switch {
+	case r.earlier():
+		program = r.conf.Earlier
+	case r.set.Fleet.Keep:
 		what = "keep"
 	}
-	cmd := exec.Command(r.conf.Program, what, "--config", r.config())
+	cmd := exec.Command(program, what, "--config", r.config())
 	// A router and all that its keeper starts are a group: a machine that dies takes
 	// all of it along.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	cmd.WaitDelay = 100 * time.Millisecond // others of its group may hold its log
-	if r.gate != "" || r.members.IsValid() || r.set.Fleet.Keep {
+	if r.gate != "" || r.members.IsValid() || r.set.Fleet.Keep || r.set.Fleet.DiskMB > 0 {
 		cmd.Args = append(cmd.Args, "--operator", filepath.Join(r.dir, nameOf(r.id)+".yaml"))
 	}
 	for _, e := range os.Environ() {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -85,7 +85,6 @@
 	manifest *handover.Manifest
 	bound    change.Use
 	note     string // why it was refused, or fell back
-	live     bool   // it was carried out without a new generation
 }
 
 // ErrTaken says that another keeper has the folder.
@@ -535,11 +534,7 @@
 			}
 			k.old, k.new = nil, nil
 		case change.TellRefused:
-			if k.plan.live {
-				k.tell(true, false, "changed while it runs: %s", k.plan.note)
-			} else {
-				k.tell(false, false, "refused, nothing has changed: %s", k.plan.note)
-			}
+			k.tell(false, false, "refused, nothing has changed: %s", k.plan.note)
 		case change.TellBack:
 			if k.new == nil && k.old != nil && !k.fell.IsZero() {
 				k.fallMS = time.Since(k.fell).Milliseconds()
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -196,7 +196,7 @@
 		if err == nil {
 			diff, err = k.differ(settled, c)
 		}
-		how, ok := change.Verdict(diff)
+		_, ok := change.Verdict(diff)
 		bound, room := change.Beside(k.all, old)
 		k.events <- func() {
 			if k.plan != p {
@@ -207,9 +207,6 @@
 				p.note = err.Error()
 			case !ok:
 				p.note = "keys that can't change on this router: " + words(diff, change.Never)
-			case m.ProgramSum == settled.ProgramSum && len(diff) > 0 && how == change.Live:
-				p.live, p.note = true, words(diff, change.Live)
-				k.live(m)
 			case room != nil:
 				p.note = room.Error()
 			default:
@@ -247,17 +244,6 @@
 	return strings.Join(out, "; ")
 }
 
-// live lets the settled generation run on with settings that differ in keys that
-// change while it runs.
-func (k *Keeper) live(m *handover.Manifest) {
-	for _, x := range []struct{ from, to string }{{m.Config, k.file.Settled.Config}} {
-		if text, err := os.ReadFile(x.from); err == nil {
-			handover.Put(x.to, text)
-		}
-	}
-	k.reload()
-}
-
 // reload lets the settled generation read again what can change while it runs.
 func (k *Keeper) reload() {
 	if k.old == nil {
--- a/internal/members/node.go
+++ b/internal/members/node.go
@@ -212,7 +212,7 @@
 	w.N = n.n
 	w.Digest = n.whole()
 	if k == Ping || k == Ack || k == Through || k == Nack {
-		w.From.Place, w.From.Runs = "", nil // known from the words before
+		w.From.Place = "" // known from the words before
 	}
 	if w.From.State == Doubled {
 		w.From.State = Joining // it asks to be taken in again
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,7 +27,7 @@
 	Metrics *Metrics `yaml:"metrics"`
 	Gateway *Gateway `yaml:"gateway"`
 	Members *Members `yaml:"members"`
-	Keep    *Keep    `yaml:"keep"`
+	Keep    *Keep    `yaml:"keep,omitempty"`
 }
 
 // Keep lets a keeper change the router's program and settings under load.
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -82,6 +82,7 @@
 	WayMS       float64 `yaml:"way_ms"`  // one way between routers
 	Keep        bool    `yaml:"keep"`    // on sockets: each router has a keeper
 	TrialS      float64 `yaml:"trial_s"` // of its changes
+	DiskMB      int     `yaml:"disk_mb"` // on sockets: of each router's disk tier; 0: none
 	WayJitterMS float64 `yaml:"way_jitter_ms"`
 }
 
@@ -195,7 +196,7 @@
 		{"length_s", s.LengthS, 1, 24 * 3600}, {"settle_s", s.SettleS, 0, s.LengthS},
 		{"fleet.trunks", float64(f.Trunks), 1, 50}, {"fleet.offices", float64(f.Offices), 1, 200},
 		{"fleet.routers", float64(f.Routers), 1, 50}, {"fleet.caches", float64(f.Caches), 1, 200},
-		{"fleet.trial_s", f.TrialS, 0.1, 600}, {"fleet.parents", float64(f.Parents), 0, 50}, {"fleet.cores", float64(f.Cores), 1, 1000},
+		{"fleet.trial_s", f.TrialS, 0.1, 600}, {"fleet.disk_mb", float64(f.DiskMB), 0, 1 << 14}, {"fleet.parents", float64(f.Parents), 0, 50}, {"fleet.cores", float64(f.Cores), 1, 1000},
 		{"fleet.slots_per_core", float64(f.SlotsPerCore), 1, 1000}, {"fleet.queue_per_core", float64(f.QueuePerCore), 0, 1000},
 		{"fleet.fills_per_core", float64(f.FillsPerCore), 1, 1000}, {"fleet.thrash", f.Thrash, 0, 1},
 		{"fleet.keeps_share", f.KeepsShare, 0, 1}, {"fleet.flow_kb_per_s", f.FlowKBPerS, 1, 1e6},
