--- a/internal/emulate/kept.go
+++ b/internal/emulate/kept.go
@@ -135,3 +135,32 @@
 		return k.ctx.Err()
 	}
 }
+
+// Restart ends a router that nobody keeps by SIGTERM, as a planned restart does, and
+// starts it again once it has ended.
+func (k *Kept) Restart(i int) error {
+	r := k.routers[i]
+	done := make(chan error, 1)
+	wait := func() error {
+		select {
+		case err := <-done:
+			return err
+		case <-k.ctx.Done():
+			return k.ctx.Err()
+		}
+	}
+	k.send(func() {
+		r.killed = true
+		done <- r.cmd.Process.Signal(syscall.SIGTERM)
+	})
+	if err := wait(); err != nil {
+		return err
+	}
+	<-r.ended
+	k.send(func() {
+		k.Note(&record.Entry{Kind: "router_down", At: k.world.Now(), Router: i})
+		k.Note(&record.Entry{Kind: "router_up", At: k.world.Now(), Router: i})
+		done <- r.run(k.world.Known())
+	})
+	return wait()
+}
--- a/internal/handover/word.go
+++ b/internal/handover/word.go
@@ -122,6 +122,7 @@
 	KeeperPID  int       `cbor:"9,keyasint,omitempty" json:"keeper_pid"`
 	Restarts   int       `cbor:"10,keyasint,omitempty" json:"restarts"` // of the settled generation, unasked
 	LastFallMS int64     `cbor:"11,keyasint,omitempty" json:"last_fall_ms"`
+	Others     int       `cbor:"14,keyasint,omitempty" json:"others"`  // processes that still end
 	MostMB     int       `cbor:"12,keyasint,omitempty" json:"most_mb"` // of all processes together, since the keeper began
 	MostFDs    int       `cbor:"13,keyasint,omitempty" json:"most_descriptors"`
 }
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -307,7 +307,7 @@
 // standing is what the keeper tells of itself.
 func (k *Keeper) standing() *handover.Standing {
 	s := &handover.Standing{State: k.machine.State.String(), SinceMS: (k.now() - k.machine.Since()) / 1000, Settled: k.file.Settled, Previous: k.file.Previous,
-		Last: k.last, Lasting: k.lasting, KeeperPID: os.Getpid(), Restarts: max(k.restarts-1, 0), LastFallMS: k.fallMS, MostMB: k.most.MemoryMB, MostFDs: k.most.Descriptors}
+		Last: k.last, Lasting: k.lasting, KeeperPID: os.Getpid(), Restarts: max(k.restarts-1, 0), LastFallMS: k.fallMS, Others: len(k.leaving), MostMB: k.most.MemoryMB, MostFDs: k.most.Descriptors}
 	of := func(p *proc) *handover.Process {
 		if p == nil {
 			return nil
