Add decisions of a rollout: a register with leases, stages, and a sequential judge

Need: who may change now, among routers that may be cut off, and does a stage do worse.

Change: internal/rollout (plan, a replicated register with terms, leases and recovery, the leader's table) and internal/verdict (asymptotic confidence sequence over paired moments). No I/O; nothing uses them yet.

--- /dev/null
+++ b/internal/rollout/lead.go
@@ -0,0 +1,418 @@
+package rollout
+
+import (
+	"fmt"
+
+	"quilldoor/internal/verdict"
+)
+
+// lead is what the router that leads knows beside the register. A new one learns it
+// anew; watching begins again with it.
+type lead struct {
+	state   State // that is being decided
+	decided State // that a majority holds
+	known   bool  // something was decided in this term
+	round   uint64
+	sentAt  map[uint64]int64 // rounds, when they were sent
+	seqAt   map[uint64]uint64
+	acks    map[uint64]Set
+	lease   int64
+	beat    int64
+
+	reports []heard
+	watch   int64 // since when all of the stage have changed; 0: they have not
+	judge   *verdict.Judge
+	moment  int64
+	say     verdict.Word
+	why     string
+}
+
+// heard is what was heard of a router last.
+type heard struct {
+	at      int64 // 0: never
+	r       Report
+	since   int64 // when OnNew last became what it is
+	counts  verdict.Counts
+	counted int64
+	memory  float64 // of the old generation, when it changed
+	starts  int
+}
+
+func newLead(n *Node, s State) *lead {
+	l := &lead{state: s, decided: s, sentAt: map[uint64]int64{}, seqAt: map[uint64]uint64{}, acks: map[uint64]Set{}, reports: make([]heard, len(n.plan.Routers))}
+	l.state.Seq++ // decided anew in this term, whatever it was
+	for i := range l.reports {
+		l.reports[i].at = n.now // who has never been heard counts from now
+		l.reports[i].since = n.now
+	}
+	l.report(n.now, n.me, &n.report)
+	return l
+}
+
+// holds tells whether a majority has answered lately enough.
+func (l *lead) holds(now int64) bool { return l.known && now < l.lease }
+
+func (l *lead) report(now int64, at int, r *Report) {
+	h := &l.reports[at]
+	if r.OnNew != h.r.OnNew {
+		h.since = now
+		if r.OnNew {
+			h.memory, h.starts = h.r.MemoryMB, r.Restarts
+		}
+		h.counted = 0
+	}
+	h.at, h.r = now, *r
+}
+
+// tick sends the next round, and goes on once the last step is decided.
+func (l *lead) tick(n *Node) {
+	if l.holds(n.now) && l.decided.Seq == l.state.Seq {
+		l.observe(n)
+		next := l.step(n)
+		if next.Seq != l.state.Seq {
+			l.state, l.beat = next, 0
+		}
+	}
+	if n.now-l.beat < beatEvery {
+		return
+	}
+	l.beat = n.now
+	l.round++
+	l.sentAt[l.round], l.seqAt[l.round], l.acks[l.round] = n.now, l.state.Seq, Set(nil).With(n.me)
+	const keep = 16
+	delete(l.sentAt, l.round-keep)
+	delete(l.seqAt, l.round-keep)
+	delete(l.acks, l.round-keep)
+	n.Durable.Held, n.State = n.term, l.state
+	n.stuck = n.now + stickFor
+	s := l.state
+	n.toAll(Msg{Kind: Accept, Term: n.term, Round: l.round, State: &s})
+	l.settle(n, l.round)
+}
+
+func (l *lead) accepted(n *Node, at int, m *Msg) {
+	if _, open := l.sentAt[m.Round]; !open || l.seqAt[m.Round] != m.Nonce {
+		return
+	}
+	l.acks[m.Round] = l.acks[m.Round].With(at)
+	l.settle(n, m.Round)
+}
+
+// settle takes a round that a majority has answered.
+func (l *lead) settle(n *Node, round uint64) {
+	if l.acks[round].Count() < n.majority() {
+		return
+	}
+	l.lease = max(l.lease, l.sentAt[round]+leaseFor)
+	if l.seqAt[round] == l.state.Seq && (!l.known || l.decided.Seq != l.state.Seq) {
+		l.decided, l.known = l.state, true
+		l.watch, l.judge = 0, nil
+	}
+	if l.known { // who leads hears itself
+		n.view, n.viewAt = l.decided, max(n.viewAt, l.sentAt[round])
+	}
+}
+
+// ---- What comes next ----
+
+// row of the table: in a way, what is found, and where that leads.
+type row struct {
+	way   Way
+	found finding
+	next  Way
+	do    func(*lead, *Node, *State)
+}
+
+// finding is what is found of the fleet, the first that fits.
+type finding uint8
+
+const (
+	toldBack  finding = iota // by the operator
+	toldHold                 //
+	toldGo                   //
+	toldStart                //
+	harmed                   // a guard that needs no statistics
+	arrived                  // one of the batch has changed, failed or is silent
+	moving                   // the batch is on its way
+	left                     // some of the stage have not changed
+	worse                    // the judge says so
+	good                     //
+	unsure                   // the time is over, and the judge can't tell
+	nothing
+)
+
+var stepTable = []row{
+	{None, toldStart, Forward, (*lead).begin},
+	{Undone, toldStart, Forward, (*lead).begin},
+	{Done, toldStart, Forward, (*lead).begin},
+	{Forward, toldBack, Backward, (*lead).turn},
+	{Holding, toldBack, Backward, (*lead).turn},
+	{Done, toldBack, Backward, (*lead).turn},
+	{Forward, toldHold, Holding, nil},
+	{Holding, toldGo, Forward, nil},
+	{Forward, harmed, Backward, (*lead).turn},
+	{Holding, harmed, Backward, (*lead).turn},
+	{Forward, arrived, Forward, (*lead).arrive},
+	{Done, arrived, Done, (*lead).arrive},
+	{Backward, arrived, Backward, (*lead).arrive},
+	{Holding, arrived, Holding, (*lead).arrive},
+	{Forward, left, Forward, (*lead).batch},
+	{Done, left, Done, (*lead).batch},
+	{Backward, left, Backward, (*lead).batch},
+	{Forward, worse, Backward, (*lead).turn},
+	{Forward, unsure, Holding, nil},
+	{Forward, good, Forward, (*lead).pass},
+	{Backward, good, Undone, nil},
+}
+
+// step works out the state that follows the decided one; the same Seq: nothing does.
+func (l *lead) step(n *Node) State {
+	s := l.decided
+	found, why := l.find(n)
+	for _, r := range stepTable {
+		if r.way != s.Way || r.found != found {
+			continue
+		}
+		next := s
+		next.Way = r.next
+		if why != "" {
+			next.Why = why
+		}
+		if found == worse && n.plan.OnWorse == "hold" {
+			next.Way = Holding
+		} else if found == unsure && n.plan.OnUnsure == "back" {
+			next.Way = Backward
+			l.turn(n, &next)
+		} else if r.do != nil {
+			r.do(l, n, &next)
+		}
+		next.Seq++
+		return next
+	}
+	return s
+}
+
+// find looks at the fleet.
+func (l *lead) find(n *Node) (finding, string) {
+	s := &l.decided
+	if len(n.orders) > 0 {
+		c := n.orders[0]
+		n.orders = n.orders[1:]
+		if f, known := map[Command]finding{Start: toldStart, Hold: toldHold, Go: toldGo, Back: toldBack}[c]; known {
+			return f, map[finding]string{toldHold: "held by the operator", toldBack: "turned back by the operator", toldGo: "gone on by the operator"}[f]
+		}
+	}
+	if s.Way == None || s.Way == Undone {
+		return nothing, ""
+	}
+	silent := int64(n.plan.SilentS * 1e6)
+	for i := range l.reports {
+		h := &l.reports[i]
+		name := n.plan.Routers[i].Name
+		gone := n.now-h.at > silent
+		fails := h.r.Run == s.Run && h.r.Failed != ""
+		switch {
+		case s.Way == Backward || s.Way == Done:
+		case s.Batch.Has(i) && fails:
+			return harmed, fmt.Sprintf("%s did not change: %s", name, h.r.Failed)
+		case s.Changed.Has(i) && !gone && fails:
+			return harmed, fmt.Sprintf("%s went back by itself: %s", name, h.r.Failed)
+		case s.Changed.Has(i) && h.r.OnNew && h.r.Restarts > h.starts:
+			return harmed, fmt.Sprintf("%s has died and was started again", name)
+		case s.Changed.Has(i) && h.r.OnNew && h.memory > 0 && h.r.MemoryMB > n.plan.Guards.Memory*h.memory+16:
+			return harmed, fmt.Sprintf("%s takes %.0f MB, %.0f before", name, h.r.MemoryMB, h.memory)
+		case s.Batch.Has(i) && gone, s.Changed.Has(i) && gone && !s.Skipped.Has(i):
+			return arrived, ""
+		}
+	}
+	for i := range l.reports {
+		if l.lost(n, s, i) || s.Batch.Has(i) && (l.there(s, i) || n.now-l.reports[i].at > silent) || s.Skipped.Has(i) && n.now-l.reports[i].at < second {
+			return arrived, ""
+		}
+	}
+	if s.Batch.Count() > 0 {
+		return moving, ""
+	}
+	if s.Way == Holding {
+		return nothing, ""
+	}
+	if l.next(n, s).Count() > 0 {
+		return left, ""
+	}
+	if l.open(n, s) {
+		return nothing, "" // some can't be asked to change yet
+	}
+	if s.Way != Forward {
+		return good, ""
+	}
+	if l.watch == 0 {
+		l.watch, l.judge, l.moment = n.now, verdict.New(n.plan.Verdict(), len(n.plan.Stages)), n.now
+		l.say, l.why = verdict.CantTell, ""
+		return nothing, ""
+	}
+	stage := &n.plan.Stages[s.Stage]
+	// The last stage leaves nobody to compare with: guards are all there is.
+	last := l.old(n, s) == 0
+	over := n.now-l.watch > int64(stage.WatchS*1e6)
+	switch {
+	case l.say == verdict.Worse:
+		return worse, l.why
+	case n.now-l.watch < int64(stage.LeastS*1e6):
+	case l.say == verdict.Good:
+		return good, l.why
+	case over && last:
+		return good, "nobody is left to compare with, no guard has struck"
+	case over:
+		return unsure, "can't tell: " + l.why
+	}
+	return nothing, ""
+}
+
+// lost tells whether one that had changed is back at the old generation, as after a
+// start from nothing: it changes once more.
+func (l *lead) lost(n *Node, s *State, i int) bool {
+	h := &l.reports[i]
+	return s.Way != Backward && s.Changed.Has(i) && n.now-h.at < second && !h.r.OnNew && !h.r.Changing
+}
+
+// there tells whether one of the batch is what it shall be.
+func (l *lead) there(s *State, i int) bool {
+	r := &l.reports[i].r
+	return !r.Changing && r.OnNew == (s.Way != Backward) && (r.Run == s.Run || s.Way == Backward)
+}
+
+// old counts routers that still have the old generation, and are there.
+func (l *lead) old(n *Node, s *State) (c int) {
+	for i := range l.reports {
+		if !s.Changed.Has(i) && !s.Skipped.Has(i) {
+			c++
+		}
+	}
+	return c
+}
+
+// due are who must change for the stage, or go back.
+func (l *lead) due(n *Node, s *State) Set {
+	if s.Way == Backward {
+		return s.Changed
+	}
+	stage := s.Stage
+	if s.Way == Done {
+		stage = len(n.plan.Stages) - 1
+	}
+	return n.plan.Through(stage)
+}
+
+// open tells whether somebody is still to change.
+func (l *lead) open(n *Node, s *State) bool {
+	due := l.due(n, s)
+	for i := range l.reports {
+		if due.Has(i) && !s.Skipped.Has(i) && s.Changed.Has(i) == (s.Way == Backward) {
+			return true
+		}
+	}
+	return false
+}
+
+// next is the batch to come: so many of an office as the plan says, of those that are
+// there, able and not on some way already.
+func (l *lead) next(n *Node, s *State) (b Set) {
+	most := n.plan.AtOnce
+	if s.Way == Backward {
+		most = n.plan.BackOnce
+	}
+	due := l.due(n, s)
+	busy := map[string]int{}
+	for i := range l.reports {
+		if l.reports[i].r.Changing {
+			busy[n.plan.Routers[i].Office]++
+		}
+	}
+	for i := range l.reports {
+		h, office := &l.reports[i], n.plan.Routers[i].Office
+		fit := due.Has(i) && !s.Skipped.Has(i) && s.Changed.Has(i) == (s.Way == Backward) && n.now-h.at < 2*second && !h.r.Changing &&
+			(h.r.Able || s.Way == Backward)
+		if fit && busy[office] < most {
+			b = b.With(i)
+			busy[office]++
+		}
+	}
+	return b
+}
+
+func (l *lead) begin(n *Node, s *State) {
+	*s = State{Seq: s.Seq, Plan: n.plan.Digest, Way: Forward, Run: n.dice.Uint64() | 1}
+	l.watch = 0
+}
+
+// turn sends all that have changed, or may be changing, back.
+func (l *lead) turn(n *Node, s *State) {
+	for i := range l.reports {
+		if s.Batch.Has(i) {
+			s.Changed = s.Changed.With(i)
+		}
+	}
+	s.Batch = nil
+}
+
+func (l *lead) batch(n *Node, s *State) { s.Batch = l.next(n, s) }
+
+// pass goes on to the next stage, or ends.
+func (l *lead) pass(n *Node, s *State) {
+	if s.Stage+1 >= len(n.plan.Stages) {
+		s.Way = Done
+		return
+	}
+	s.Stage++
+}
+
+// arrive takes who has changed out of the batch, and passes over who is silent.
+func (l *lead) arrive(n *Node, s *State) {
+	silent := int64(n.plan.SilentS * 1e6)
+	for i := range l.reports {
+		gone := n.now-l.reports[i].at > silent
+		switch {
+		case s.Skipped.Has(i) && n.now-l.reports[i].at < second: // it is back
+			s.Skipped = s.Skipped.Without(i)
+			if l.reports[i].r.OnNew && l.reports[i].r.Run == s.Run {
+				s.Changed = s.Changed.With(i)
+			} else {
+				s.Changed = s.Changed.Without(i)
+			}
+		case s.Batch.Has(i) && gone, s.Changed.Has(i) && gone:
+			s.Batch, s.Skipped = s.Batch.Without(i), s.Skipped.With(i)
+		case l.lost(n, &l.decided, i):
+			s.Changed = s.Changed.Without(i)
+		case s.Batch.Has(i) && l.there(&l.decided, i):
+			s.Batch = s.Batch.Without(i)
+			if s.Way == Backward {
+				s.Changed = s.Changed.Without(i)
+			} else {
+				s.Changed = s.Changed.With(i)
+			}
+		}
+	}
+}
+
+// observe hands the judge what routers have done since it was last asked, while the
+// stage is watched.
+func (l *lead) observe(n *Node) {
+	if l.judge == nil || l.watch == 0 || n.now-l.moment < second {
+		return
+	}
+	l.moment = n.now
+	for i := range l.reports {
+		h := &l.reports[i]
+		if n.now-h.at > 2*second || h.r.Changing || n.now-h.since < l.judge.Skip() {
+			h.counted = 0
+			continue
+		}
+		c := h.r.Counts.Minus(h.counts)
+		if h.counted > 0 && c.Txns >= 0 {
+			l.judge.Add(n.plan.Routers[i].Office, h.r.OnNew, c)
+		}
+		h.counts, h.counted = h.r.Counts, n.now
+	}
+	l.judge.Moment()
+	l.say, l.why = l.judge.Say()
+}
--- /dev/null
+++ b/internal/rollout/node.go
@@ -0,0 +1,427 @@
+package rollout
+
+import (
+	"math/rand/v2"
+
+	"quilldoor/internal/verdict"
+)
+
+// Way is where a rollout goes.
+type Way uint8
+
+// Ways.
+const (
+	None     Way = iota // there is none
+	Forward             //
+	Holding             // nothing moves until the operator says so
+	Backward            // all go back
+	Done                // the fleet has the new generation; who comes late changes, too
+	Undone              // the fleet has the old one
+)
+
+var wayNames = [...]string{"none", "forward", "holding", "back", "done", "undone"}
+
+func (w Way) String() string { return wayNames[min(int(w), len(wayNames)-1)] }
+
+// State is what a majority has decided. A later one has a higher Seq.
+type State struct {
+	Seq     uint64 `cbor:"1,keyasint"`
+	Plan    uint64 `cbor:"2,keyasint,omitempty"` // digest
+	Way     Way    `cbor:"3,keyasint,omitempty"`
+	Stage   int    `cbor:"4,keyasint,omitempty"`
+	Batch   Set    `cbor:"5,keyasint,omitempty"` // who changes now, in the way's direction
+	Changed Set    `cbor:"6,keyasint,omitempty"` // who has the new generation
+	Skipped Set    `cbor:"7,keyasint,omitempty"` // who was silent for long
+	Why     string `cbor:"8,keyasint,omitempty"`
+	Run     uint64 `cbor:"9,keyasint,omitempty"` // tells two rollouts of one plan apart
+}
+
+// Report is what a router says of itself.
+type Report struct {
+	OnNew    bool           `cbor:"1,keyasint,omitempty"` // it serves with the new generation, settled
+	Changing bool           `cbor:"2,keyasint,omitempty"` // on its way, in either direction
+	Failed   string         `cbor:"3,keyasint,omitempty"` // why the change did not come about, in this run
+	Able     bool           `cbor:"4,keyasint,omitempty"` // it has the plan, and what the plan names
+	Counts   verdict.Counts `cbor:"5,keyasint,omitempty"` // since its first generation, going on over changes
+	Restarts int            `cbor:"6,keyasint,omitempty"` // unasked
+	MemoryMB float64        `cbor:"7,keyasint,omitempty"`
+	Run      uint64         `cbor:"8,keyasint,omitempty"` // that Failed and OnNew are of
+}
+
+// Kind of a message.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	Prepare   Kind = 1 + iota // may I lead, in Term?
+	Promise                   // yes, and this is the latest that I hold
+	Refuse                    // no: Term is that of another, or one leads
+	Accept                    // hold State; Round counts, for the lease
+	Accepted                  // I do
+	Ask                       // what is decided? Nonce; with the asker's Report
+	Tell                      // State, as decided, under a lease that holds
+	Recover                   // I have forgotten all: what do you hold? Nonce
+	Recovered                 //
+	Order                     // of an operator, passed on to who leads: Word
+)
+
+// Msg is what routers say to each other.
+type Msg struct {
+	Kind   Kind    `cbor:"1,keyasint"`
+	Plan   uint64  `cbor:"2,keyasint"` // digest; of another plan nothing is heard
+	Term   uint64  `cbor:"3,keyasint,omitempty"`
+	Held   uint64  `cbor:"4,keyasint,omitempty"` // term in which State was taken
+	State  *State  `cbor:"5,keyasint,omitempty"`
+	Round  uint64  `cbor:"6,keyasint,omitempty"`
+	Nonce  uint64  `cbor:"7,keyasint,omitempty"`
+	Report *Report `cbor:"8,keyasint,omitempty"`
+	Word   Command `cbor:"9,keyasint,omitempty"`
+}
+
+// Out is a message to be sent, to a place of the plan.
+type Out struct {
+	To  int
+	Msg *Msg
+}
+
+// Command is an operator's.
+type Command uint8
+
+// Commands.
+const (
+	Start Command = 1 + iota
+	Hold
+	Go
+	Back
+)
+
+// Times of the register, microseconds.
+const (
+	ms, second = int64(1000), int64(1_000_000)
+
+	beatEvery = 500 * ms
+	// leaseFor is how long who leads may act on a round that a majority has answered,
+	// from when it was sent; stickFor is how long those who answered promise nothing to
+	// another. What lies between covers clocks that drift by a tenth and what was told
+	// shortly before the end.
+	leaseFor = 2 * second
+	// actWithin is how old, by the own clock and from when it was asked for, a word may
+	// be on which a router begins to change.
+	actWithin = second
+	stickFor  = 4 * second
+	// standAfter without hearing from who leads a router stands itself, each place in
+	// the plan a little later.
+	standAfter = 5 * second
+	standStep  = 700 * ms
+)
+
+// Durable is what must outlast a process, where a disk lasts. A router that has lost it
+// takes no part until a majority of the others has told it what they hold.
+type Durable struct {
+	Promised uint64 `json:"promised"`
+	Held     uint64 `json:"held"` // term in which State was taken
+	State    State  `json:"state"`
+}
+
+// Node is a router's part in the rollout. One goroutine at a time.
+type Node struct {
+	plan *Plan
+	me   int
+	dice *rand.Rand
+	now  int64
+
+	Durable
+	recovering uint64 // nonce of the question; 0: it takes part
+	recovered  map[int]*Msg
+	askedAll   int64
+
+	leads   *lead // nil: another one leads, or nobody
+	leader  int   // who was heard to lead; -1: nobody
+	heard   int64 // from who leads
+	stuck   int64 // nothing is promised before
+	stood   int64 // when it stood last
+	term    uint64
+	votes   map[int]*Msg
+	nonce   uint64
+	askedAt int64
+	view    State // as told last
+	viewAt  int64 // when it was asked for; 0: never told
+	report  Report
+	orders  []Command
+	out     []Out
+	wrong   wrong
+}
+
+// wrong switches guards off. Only tests set it.
+type wrong struct {
+	noLease    bool // who leads acts on what it decided once
+	noMajority bool // a third is enough
+	staleView  bool // what was told is acted on whenever
+	forgets    bool // a restarted router takes part at once, with nothing
+}
+
+// NewNode starts a router's part. Durable nil: it has lost what it knew; fresh: there
+// was never a rollout of this plan here or elsewhere.
+func NewNode(p *Plan, name string, d *Durable, dice *rand.Rand, now int64) *Node {
+	n := &Node{plan: p, me: p.Index(name), dice: dice, now: now, leader: -1, heard: now}
+	if d != nil {
+		n.Durable = *d
+		n.stuck = now + stickFor // the life before may have answered a round just now
+	} else {
+		n.recovering, n.recovered = dice.Uint64()|1, map[int]*Msg{}
+	}
+	return n
+}
+
+func (n *Node) majority() int {
+	if n.wrong.noMajority {
+		return max(len(n.plan.Routers)/3, 1)
+	}
+	return len(n.plan.Routers)/2 + 1
+}
+
+func (n *Node) send(to int, m Msg) {
+	m.Plan = n.plan.Digest
+	n.out = append(n.out, Out{to, &m})
+}
+
+func (n *Node) toAll(m Msg) {
+	for i := range n.plan.Routers {
+		if i != n.me {
+			n.send(i, m)
+		}
+	}
+}
+
+// Leads tells whether this router leads now, under a lease that holds.
+func (n *Node) Leads() bool { return n.leads != nil && n.leads.holds(n.now) }
+
+// View is what is known of the rollout, and how old that is; -1: never told.
+func (n *Node) View() (State, int64) {
+	if n.viewAt == 0 {
+		return n.view, -1
+	}
+	return n.view, n.now - n.viewAt
+}
+
+// Want is what this router is to be.
+type Want struct {
+	New bool
+	Go  bool // it may begin to change into that now
+}
+
+// Want tells it. Forward only on what was asked for just now. Back as well, but for a
+// router that hears of nobody any more: where the plan says so it goes back alone, if
+// nothing has shown that the new generation is good.
+func (n *Node) Want(now int64) Want {
+	n.now = max(now, n.now)
+	v := n.view
+	fresh := n.viewAt > 0 && (n.now-n.viewAt <= actWithin || n.wrong.staleView)
+	cut := n.viewAt > 0 && n.now-n.viewAt > int64(n.plan.SilentS*1e6)
+	if n.report.OnNew && cut && v.Way != Done && (v.Way == Backward || n.plan.CutOff == "back" && !n.passed()) {
+		return Want{false, true}
+	}
+	switch {
+	case v.Way == Undone:
+		return Want{false, true}
+	case v.Way == Backward && v.Batch.Has(n.me):
+		return Want{false, fresh}
+	case (v.Way == Forward || v.Way == Done) && v.Batch.Has(n.me):
+		return Want{true, fresh}
+	}
+	return Want{n.report.OnNew, false}
+}
+
+// passed tells whether the stage that this router changed in was found good.
+func (n *Node) passed() bool {
+	return n.view.Stage > 0 && n.plan.Through(n.view.Stage-1).Has(n.me)
+}
+
+// Local tells what the router is and has done.
+func (n *Node) Local(r Report) {
+	if n.report = r; n.leads != nil {
+		n.leads.report(n.now, n.me, &n.report)
+	}
+}
+
+// Command takes an operator's, at any router of the plan.
+func (n *Node) Command(now int64, c Command) {
+	n.now = max(now, n.now)
+	if c == Start {
+		n.stood, n.heard = n.now-second, n.now-standAfter-int64(len(n.plan.Routers))*standStep // it stands at once
+	}
+	n.orders = append(n.orders, c)
+}
+
+// Tick does what time brings. It wants to be called some ten times a second.
+func (n *Node) Tick(now int64) []Out {
+	n.now = max(now, n.now)
+	if n.me < 0 {
+		return nil
+	}
+	switch {
+	case n.recovering != 0 && n.wrong.forgets:
+		n.recovering = 0
+	case n.recovering != 0:
+		if n.now-n.askedAll >= beatEvery {
+			n.askedAll = n.now
+			n.toAll(Msg{Kind: Recover, Nonce: n.recovering})
+		}
+		return n.take()
+	}
+	if n.leads != nil {
+		n.leads.tick(n)
+	} else if n.now-n.heard > standAfter+int64(n.me)*standStep && n.now-n.stood > standAfter/2+n.dice.Int64N(second) && n.now >= n.stuck && n.wanted() {
+		n.stand()
+	}
+	if n.leads == nil && n.leader >= 0 && n.now-n.askedAt >= beatEvery {
+		n.askedAt, n.nonce = n.now, n.dice.Uint64()|1
+		r := n.report
+		n.send(n.leader, Msg{Kind: Ask, Nonce: n.nonce, Report: &r})
+		for _, c := range n.orders {
+			n.send(n.leader, Msg{Kind: Order, Word: c})
+		}
+		n.orders = nil
+	}
+	return n.take()
+}
+
+// wanted tells whether there is anything to lead.
+func (n *Node) wanted() bool { return n.State.Way != None || len(n.orders) > 0 }
+
+func (n *Node) take() (out []Out) {
+	out, n.out = n.out, nil
+	return out
+}
+
+// stand asks to lead in a term of its own: terms are told apart by place.
+func (n *Node) stand() {
+	const places = 1024
+	n.stood = n.now
+	n.term = (max(n.Promised, n.term)/places+1)*places + uint64(n.me)
+	n.Promised = n.term
+	n.votes = map[int]*Msg{n.me: {Held: n.Durable.Held, State: &n.Durable.State}}
+	n.toAll(Msg{Kind: Prepare, Term: n.term})
+	n.count()
+}
+
+// count makes this router lead, once a majority has promised.
+func (n *Node) count() {
+	if n.votes == nil || len(n.votes) < n.majority() || n.term != n.Promised {
+		return
+	}
+	best := n.votes[n.me]
+	for _, v := range n.votes {
+		if v.Held > best.Held {
+			best = v
+		}
+	}
+	n.votes = nil
+	n.leads = newLead(n, *best.State)
+	n.leader = n.me
+	n.leads.tick(n)
+}
+
+// follow notes who leads.
+func (n *Node) follow(from int) {
+	n.leader, n.heard = from, n.now
+	if n.leads != nil && from != n.me {
+		n.leads = nil
+	}
+}
+
+// Heard takes a message from a router of the plan.
+func (n *Node) Heard(now int64, from string, m *Msg) []Out {
+	n.now = max(now, n.now)
+	at := n.plan.Index(from)
+	if at < 0 || at == n.me || n.me < 0 || m.Plan != n.plan.Digest {
+		return nil
+	}
+	if n.recovering != 0 {
+		switch {
+		case m.Kind == Recovered && m.Nonce == n.recovering:
+			n.relearn(at, m)
+		case m.Kind == Recover: // it has lost all, too
+			n.send(at, Msg{Kind: Recovered, Nonce: m.Nonce})
+		}
+		return n.take()
+	}
+	switch m.Kind {
+	case Prepare:
+		if m.Term <= n.Promised || n.now < n.stuck {
+			n.send(at, Msg{Kind: Refuse, Term: n.Promised})
+			break
+		}
+		n.Promised, n.votes, n.leads = m.Term, nil, nil
+		s := n.State
+		n.send(at, Msg{Kind: Promise, Term: m.Term, Held: n.Durable.Held, State: &s})
+	case Promise:
+		if n.votes != nil && m.Term == n.term && m.State != nil {
+			n.votes[at] = m
+			n.count()
+		}
+	case Refuse:
+		n.term = max(n.term, m.Term) // the next one is above it
+	case Accept:
+		if m.State == nil || m.Term < n.Promised || m.Term == n.Durable.Held && m.State.Seq < n.State.Seq {
+			n.send(at, Msg{Kind: Refuse, Term: n.Promised})
+			break
+		}
+		n.Promised, n.Durable.Held, n.State = m.Term, m.Term, *m.State
+		n.stuck = n.now + stickFor
+		n.follow(at)
+		n.send(at, Msg{Kind: Accepted, Term: m.Term, Round: m.Round, Nonce: m.State.Seq})
+	case Accepted:
+		if n.leads != nil && m.Term == n.term {
+			n.leads.accepted(n, at, m)
+		}
+	case Ask:
+		if n.leads == nil || m.Report == nil {
+			break
+		}
+		n.leads.report(n.now, at, m.Report)
+		if n.leads.holds(n.now) || n.wrong.noLease {
+			s := n.leads.decided
+			n.send(at, Msg{Kind: Tell, Nonce: m.Nonce, State: &s})
+		}
+	case Tell:
+		if m.Nonce == n.nonce && m.State != nil && (m.State.Seq >= n.view.Seq || m.State.Run != n.view.Run) {
+			n.view, n.viewAt, n.nonce = *m.State, n.askedAt, 0
+		}
+	case Recover:
+		s := n.State
+		n.send(at, Msg{Kind: Recovered, Nonce: m.Nonce, Term: n.Promised, Held: n.Durable.Held, State: &s})
+	case Order:
+		if n.leads != nil {
+			n.orders = append(n.orders, m.Word)
+		}
+	}
+	return n.take()
+}
+
+// relearn gathers what the others hold, until a majority of the plan has told: any
+// majority that promised or took something before has one of them in it. Where all
+// others have lost everything, too, there is nothing left to be told.
+func (n *Node) relearn(at int, m *Msg) {
+	n.recovered[at] = m
+	told := 0
+	for _, r := range n.recovered {
+		if r.State != nil {
+			told++
+		}
+	}
+	if told < n.majority() && (told > 0 || len(n.recovered) < len(n.plan.Routers)-1) {
+		return
+	}
+	for _, r := range n.recovered {
+		if r.State == nil {
+			continue
+		}
+		n.Promised = max(n.Promised, r.Term)
+		if r.Held > n.Durable.Held || r.Held == n.Durable.Held && r.State.Seq > n.State.Seq {
+			n.Durable.Held, n.State = r.Held, *r.State
+		}
+	}
+	n.recovering, n.recovered = 0, nil
+	n.heard, n.stuck = n.now, n.now+stickFor
+}
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,103 @@
+package verdict
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// arms plays two arms that fail by chance, with an office's trouble that both share and
+// with shares that wander for each arm alone, and returns what was said and when.
+func arms(seed uint64, worse, refuse, wander float64, moments int) (Word, int) {
+	dice := rand.New(rand.NewPCG(seed, 7))
+	j := New(Default(), 3)
+	w := [2]float64{}
+	for at := 1; at <= moments; at++ {
+		trouble := 0.03
+		if at%40 > 28 { // both lose much
+			trouble = 0.3
+		}
+		for arm := range 2 {
+			w[arm] = 0.7*w[arm] + wander*dice.NormFloat64()
+			p := min(max(trouble+w[arm], 0), 1)
+			var c Counts
+			for range 40 {
+				c.Txns++
+				c.Asked++
+				switch {
+				case arm == 1 && dice.Float64() < refuse:
+					c.Refused++
+				case dice.Float64() < p+float64(arm)*worse:
+				default:
+					c.Earned++
+				}
+			}
+			j.Add("o", arm == 1, c)
+		}
+		if j.Moment(); at%3 == 0 {
+			if word, _ := j.Say(); word != CantTell {
+				return word, at
+			}
+		}
+	}
+	return CantTell, moments
+}
+
+// The same program is stopped seldom, looked at all the time, in calm, in trouble and
+// with neighbours that wander; a loss of 0.05 and 4% refused without need pass seldom.
+func TestWords(t *testing.T) {
+	const runs, moments = 400, 400
+	play := func(worse, refuse, wander float64) (n [3]int) {
+		for seed := range uint64(runs) {
+			w, _ := arms(seed, worse, refuse, wander, moments)
+			n[w]++
+		}
+		return n
+	}
+	for _, wander := range []float64{0, 0.02} {
+		if n := play(0, 0, wander); n[Worse] > runs/20 || n[Good] < runs*8/10 {
+			t.Errorf("the same, wander %g: %v", wander, n)
+		}
+		if n := play(0.06, 0, wander); n[Good] > runs/20 || n[Worse] < runs/2 {
+			t.Errorf("0.06 worse, wander %g: %v", wander, n)
+		}
+		if n := play(0, 0.04, wander); n[Good] > runs/20 || n[Worse] < runs/2 {
+			t.Errorf("4%% refused, wander %g: %v", wander, n)
+		}
+	}
+	// Too little seen is no pass.
+	if w, at := arms(1, 0, 0, 0, 5); w != CantTell || at != 5 {
+		t.Error(w, at)
+	}
+	j := New(Default(), 1)
+	for range 100 {
+		j.Add("o", true, Counts{Txns: 100, Asked: 100, Earned: 100}) // nothing beside it
+		j.Moment()
+	}
+	if w, _ := j.Say(); w != CantTell {
+		t.Error(w)
+	}
+}
+
+// The bounds hold at all moments together: means of pure chance leave them seldom.
+func TestSequenceHolds(t *testing.T) {
+	const runs, moments, chance = 2000, 500, 0.05
+	left := 0
+	for seed := range uint64(runs) {
+		dice := rand.New(rand.NewPCG(seed, 3))
+		sum := 0.0
+		for n := 1; n <= moments; n++ {
+			sum += dice.NormFloat64()
+			if n >= leastMoments && math.Abs(sum/float64(n)) > Width(n, chance) {
+				left++
+				break
+			}
+		}
+	}
+	if t.Logf("%d of %d left the bounds", left, runs); left > runs*chance*1.3 {
+		t.Error("more than their chance")
+	}
+	if stop, pass := Needed(Default(), 3, 0.05, 0.05, 5000); stop == 0 || pass == 0 || stop < pass {
+		t.Error(stop, pass)
+	}
+}
