Carry rollouts among kept routers: letters among members, plan, status, way back

Need: the decisions of a rollout had nobody to act for them.

Change: keepers run the register over letters that their generations carry among the members, begin and call back changes as it says, force a generation that does not let go; quilldoor rollout check|start|status|hold|go|back; worth counted at the front.

--- a/cmd/quilldoor/change_test.go
+++ b/cmd/quilldoor/change_test.go
@@ -58,6 +58,23 @@
 					files = append(files, f)
 				}
 			}
+		case when == "start" && fault == "narrow": // refuses what it could do
+			r.set.Limits.MaxOpen = 1
+		case when == "beat" && fault == "dies at work":
+			if e := r.front.Ends(); e.Completed > 60 {
+				os.Exit(3)
+			}
+		case when == "beat" && fault == "leaks":
+			b := make([]byte, 2<<20)
+			for i := range b {
+				b[i] = 1
+			}
+			hoard = append(hoard, b)
+		case when == "own" && fault == "quiet among members":
+			if r.members != nil {
+				r.members.Close()
+				r.members = nil
+			}
 		case when == "start" && fault == "refuses":
 			r.set.Zone, r.set.Family.Direct = "nowhere", false
 		}
--- a/cmd/quilldoor/keep.go
+++ b/cmd/quilldoor/keep.go
@@ -49,13 +49,20 @@
 		hup := make(chan os.Signal, 1)
 		signal.Notify(hup, syscall.SIGHUP)
 		return keeper.Run(keeper.Config{Folder: own.Folder, Program: self, Platform: cmp.Or(f.over.File, os.Getenv("LB_CONFIG")),
-			Operator: cmp.Or(f.operator, os.Getenv("LB_OPERATOR"), operator.DefaultPath), Log: log.WithField("router", s.Name),
+			Operator: cmp.Or(f.operator, os.Getenv("LB_OPERATOR"), operator.DefaultPath), Plan: own.Plan, Member: memberName(s.operator), Log: log.WithField("router", s.Name),
 			Times: change.Times{Ready: micros(own.ReadyS), Trial: micros(own.TrialS), Drain: (s.Limits.LongestTxn + s.Limits.IdleClient + drainSlack).Microseconds()}},
 			term, hup)
 	}
 	return c
 }
 
+func memberName(o *operator.Config) string {
+	if o.Members == nil {
+		return ""
+	}
+	return o.Members.Name
+}
+
 // drainSlack is for what stands round the drain itself: half a second of accepting,
 // the disk's last writes, connections that are closed.
 const drainSlack = 3 * time.Second
--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -54,7 +54,7 @@
 		checkCommand(&f),
 		&cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Println("quilldoor", version()) }},
-		diskCommand(), gatewayCommand(&f), membersCommand(&f), keysCommand(), keepCommand(&f), changeCommand(&f))
+		diskCommand(), gatewayCommand(&f), membersCommand(&f), keysCommand(), keepCommand(&f), changeCommand(&f), rolloutCommand(&f))
 	return root
 }
 
--- a/cmd/quilldoor/own.go
+++ b/cmd/quilldoor/own.go
@@ -212,6 +212,13 @@
 
 func (o *owner) Beside(outs map[string][3]float64) { o.core.Beside(clock(), outs) }
 
+// Post sends a keeper's letter, if this generation is the one among the members.
+func (o *owner) Post(to string, body []byte) {
+	if o.members != nil {
+		o.members.Post(to, body)
+	}
+}
+
 func (o *owner) Reload() { o.reload(o.ctx, o.load) }
 
 func (o *owner) Ready() bool {
--- a/cmd/quilldoor/peers.go
+++ b/cmd/quilldoor/peers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -8,6 +9,7 @@
 	"quilldoor/internal/memberlink"
 	"quilldoor/internal/members"
 	"quilldoor/internal/news"
+	"quilldoor/internal/rollout"
 )
 
 // peers lets the router decide by what the others' boards have told.
@@ -31,6 +33,12 @@
 
 // Letter takes what another router says.
 func (p *peers) Letter(from string, tag uint32, body []byte) [][]byte {
+	if bytes.HasPrefix(body, rollout.Mark) {
+		if p.kept != nil {
+			p.kept.Letter(from, body)
+		}
+		return nil
+	}
 	p.mu.Lock()
 	t := p.book.Letter(p.now(), clock(), from, tag, body, memberlink.MostBody)
 	p.mu.Unlock()
--- /dev/null
+++ b/cmd/quilldoor/rollout.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"quilldoor/internal/generation"
+	"quilldoor/internal/handover"
+	"quilldoor/internal/operator"
+	"quilldoor/internal/rollout"
+	"quilldoor/internal/verdict"
+)
+
+func rolloutCommand(f *flags) *cobra.Command {
+	c := &cobra.Command{Use: "rollout", Short: "Take a change through many kept routers in stages"}
+	var folder, path string
+	c.PersistentFlags().StringVar(&folder, "folder", "", "the keeper's folder; else keep.folder of the operator's file")
+	find := func() error {
+		own, err := operator.Load(f.operator, os.Getenv)
+		if err != nil {
+			return err
+		}
+		if own.Keep == nil {
+			return errKeep
+		}
+		if folder == "" {
+			folder = own.Keep.Folder
+		}
+		if path == "" {
+			path = own.Keep.Plan
+		}
+		return nil
+	}
+	ask := func(w rollout.Command) (*handover.Word, error) {
+		if folder == "" {
+			if err := find(); err != nil {
+				return nil, err
+			}
+		}
+		r, err := handover.Ask(filepath.Join(folder, generation.SocketName), &handover.Word{Kind: handover.Roll, Command: w}, nil)
+		if err == nil && !r.OK {
+			err = errors.New(r.Note)
+		}
+		return r, err
+	}
+	for _, x := range []struct {
+		name, short string
+		word        rollout.Command
+	}{{"start", "Start the plan's rollout", rollout.Start}, {"hold", "Hold it where it is", rollout.Hold}, {"go", "Go on with one that is held", rollout.Go},
+		{"back", "Turn it back", rollout.Back}} {
+		c.AddCommand(&cobra.Command{Use: x.name, Short: x.short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			r, err := ask(x.word)
+			if err == nil {
+				fmt.Println(r.Note)
+			}
+			return err
+		}})
+	}
+	var asJSON bool
+	status := &cobra.Command{Use: "status", Short: "Tell where it stands; whoever leads knows most", Args: cobra.NoArgs}
+	status.Flags().BoolVar(&asJSON, "json", false, "print as JSON")
+	status.RunE = func(*cobra.Command, []string) error {
+		r, err := ask(0)
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			enc := json.NewEncoder(os.Stdout)
+			enc.SetIndent("", " ")
+			return enc.Encode(r.Rollout)
+		}
+		printRollout(r.Rollout)
+		return nil
+	}
+	var spread float64
+	check := &cobra.Command{Use: "check", Short: "Check the plan, and tell what its stages can show", Args: cobra.NoArgs}
+	check.Flags().StringVar(&path, "plan", "", "the plan; else keep.plan of the operator's file")
+	check.Flags().Float64Var(&spread, "spread", 0.03, "standard deviation, over seconds, of the loss of worth between two routers of an office")
+	check.RunE = func(*cobra.Command, []string) error {
+		if path == "" {
+			if err := find(); err != nil {
+				return err
+			}
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		p, err := rollout.ParsePlan(path, text)
+		if err != nil {
+			return err
+		}
+		printPlan(p, spread)
+		return nil
+	}
+	c.AddCommand(status, check)
+	return c
+}
+
+func printPlan(p *rollout.Plan, spread float64) {
+	fmt.Printf("%s (%016x): %d routers, %d of an office at once\n", p.Name, p.Digest, len(p.Routers), p.AtOnce)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "stage\trouters\twatched\tstops a loss of 0.05 after\t0.1\t0.2\tpasses the same after")
+	for i, s := range p.Stages {
+		told := func(n int) string {
+			if n == 0 || float64(n) > s.WatchS {
+				return "not within it"
+			}
+			return fmt.Sprintf("%d s", n)
+		}
+		var cells []any
+		var pass int
+		for _, loss := range []float64{0.05, 0.1, 0.2} {
+			var stop int
+			stop, pass = verdict.Needed(p.Verdict(), len(p.Stages), spread, loss, 100_000)
+			cells = append(cells, told(stop))
+		}
+		compared := told(pass)
+		if p.Through(i).Count() == len(p.Routers) {
+			cells, compared = []any{"guards only", "", ""}, "the watch"
+		}
+		fmt.Fprintf(w, "%d\t%d\t%g to %g s\t%s\t%s\t%s\t%s\n", append(append([]any{i + 1, p.Through(i).Count(), s.LeastS, s.WatchS}, cells...), compared)...)
+	}
+	w.Flush()
+	fmt.Printf("with a spread of %g; by chance alone at most %g of rollouts of the same are stopped\n", spread, p.Guards.Chance)
+}
+
+func printRollout(s *rollout.Standing) {
+	leads := "leads"
+	if !s.Leads {
+		leads = "does not lead"
+	}
+	fmt.Printf("%s: %s, stage %d of %d, known %d ms ago; last heard to lead: %s; this router %s\n", s.Plan, s.Way, s.Stage, s.Stages, s.AgeMS, s.Leader, leads)
+	if s.Why != "" {
+		fmt.Println("last:", s.Why)
+	}
+	if s.Lost {
+		fmt.Println("THIS ROUTER HAS LOST WHAT IT KNEW, and asks the others")
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "router\toffice\tgeneration\theard\tMB\trestarts\tfailed")
+	for _, l := range s.Routers {
+		heard := ""
+		if s.Leads {
+			heard = fmt.Sprintf("%d ms ago", l.HeardMS)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0f\t%d\t%s\n", l.Name, l.Office, l.Does, heard, l.Report.MemoryMB, l.Report.Restarts, l.Report.Failed)
+	}
+	w.Flush()
+	if s.Say != "" {
+		fmt.Printf("watched for %d s: %s\n", s.WatchMS/1000, s.Say)
+		for _, b := range s.Bounds {
+			fmt.Printf("  %s: %+.4f (%+.4f to %+.4f; %g is borne)\n", b.Figure, b.Mean, b.Low, b.High, b.Bears)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/quilldoor/rollout_test.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"quilldoor/internal/emulate"
+	"quilldoor/internal/handover"
+	"quilldoor/internal/rollout"
+)
+
+// Eight kept routers of four offices that know each other.
+const rolloutFleet = `
+settle_s: 1
+fleet: {offices: 4, routers: 2, trunks: 2, caches: 4, cores: 5, link_share: 0.6, keep: true, trial_s: 0.5, members: true, board_ms: 200, death_ms: 500, cold_s: 3}
+load: {txns_per_s: 160, objects: 800}
+`
+
+// putPlan writes a plan for the program: one router, one of each office, all.
+func putPlan(k *emulate.Kept, program string) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name: trial\nprogram: %s\nsilent_s: 6\nguards: {most_loss: 0.25, loss: 0.05, refusals: 0.05, failures: 0.05}\nrouters:\n", program)
+	for i := range k.Count() {
+		name, office := k.Name(i)
+		fmt.Fprintf(&b, "  - {name: %s, office: %s}\n", name, office)
+	}
+	first, _ := k.Name(0)
+	fmt.Fprintf(&b, "stages:\n  - {routers: [%s], watch_s: 40, least_s: 2}\n  - {share: 0.5, watch_s: 30, least_s: 2}\n  - {share: 1, watch_s: 2, least_s: 2}\n", first)
+	return os.WriteFile(k.Plan(), []byte(b.String()), 0o600)
+}
+
+// ended waits for the end of a rollout, as those who know it newest tell.
+func ended(k *emulate.Kept, within time.Duration, at ...int) (last *rollout.Standing, err error) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, i := range at {
+			s, e := k.Rollout(i, 0)
+			if e != nil {
+				err = e
+				continue
+			}
+			if last == nil || s.Seq >= last.Seq && s.AgeMS >= 0 {
+				last = s
+			}
+		}
+		if last != nil && (last.Way == "done" || last.Way == "undone") {
+			return last, nil
+		}
+	}
+	return last, fmt.Errorf("no end after %v: %+v, %v", within, last, err)
+}
+
+// begin starts the rollout at a router, once all have read the plan.
+func begin(k *emulate.Kept, i int) error {
+	for end := time.Now().Add(15 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		ready := 0
+		for j := range k.Count() {
+			if s, err := k.Rollout(j, 0); err == nil && !s.Lost {
+				ready++
+			}
+		}
+		if ready == k.Count() {
+			break
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%d of %d routers have the plan", ready, k.Count())
+		}
+	}
+	_, err := k.Rollout(i, rollout.Start)
+	return err
+}
+
+// generations of the routers, as their keepers have them settled and serving.
+func generations(k *emulate.Kept) (list []uint64, err error) {
+	for i := range k.Count() {
+		s, err := k.Standing(i)
+		if err != nil || s.Serving == nil {
+			return nil, fmt.Errorf("router %d: %v, %+v", i, err, s)
+		}
+		list = append(list, s.Serving.Generation)
+	}
+	return list, nil
+}
+
+// The same program goes through all stages while who leads is killed with its machine,
+// stopped for some seconds, and cut off, and caches are lost and come back cold.
+func TestRolloutOfTheSame(t *testing.T) {
+	r := changes(t, rolloutFleet+"length_s: 60\ntroubles:\n  - {kind: office_lost, at: 22, for: 3, office: 2}\n  - {kind: ways_camps, at: 30, for: 4, share: 0.25}\n  - {kind: cut_board, at: 34, for: 3, share: 0.5}\n",
+		func(k *emulate.Kept) error {
+			if err := putPlan(k, os.Args[0]); err != nil {
+				return err
+			}
+			if err := begin(k, 3); err != nil {
+				return err
+			}
+			all := []int{0, 1, 2, 3, 4, 5, 6, 7}
+			leader := func() (int, error) {
+				for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+					for _, i := range all {
+						if s, err := k.Rollout(i, 0); err == nil && s.Leads && s.Way == "forward" {
+							return i, nil
+						}
+					}
+				}
+				return 0, fmt.Errorf("nobody leads")
+			}
+			i, err := leader()
+			if err != nil {
+				return err
+			}
+			time.Sleep(3 * time.Second)
+			// Its keeper is killed, and started again; then the next one's stands still.
+			if err := k.KillKeeper(i); err != nil {
+				return err
+			}
+			time.Sleep(time.Second)
+			if err := k.StartKeeper(i); err != nil {
+				return err
+			}
+			time.Sleep(2 * time.Second)
+			if i, err = leader(); err != nil {
+				return err
+			}
+			s, err := k.Standing(i)
+			if err != nil {
+				return err
+			}
+			syscall.Kill(s.KeeperPID, syscall.SIGSTOP)
+			time.Sleep(7 * time.Second)
+			syscall.Kill(s.KeeperPID, syscall.SIGCONT)
+			got, err := ended(k, 80*time.Second, all...)
+			if err != nil {
+				return err
+			}
+			list, err := generations(k)
+			if err != nil {
+				return err
+			}
+			t.Logf("%s at seq %d: %v (%s)", got.Way, got.Seq, list, got.Why)
+			if got.Way != "done" {
+				t.Errorf("%+v", got)
+			}
+			for i, g := range list {
+				if g != 2 {
+					t.Errorf("router %d has generation %d", i, g)
+				}
+			}
+			return nil
+		})
+	if r.Refused > 0 || r.Broke > 0 {
+		t.Errorf("%d connections refused, %d broken off", r.Refused, r.Broke)
+	}
+}
+
+// A worse one is stopped at its first stage, and every router has the old one in the
+// end.
+func TestRolloutsOfWorse(t *testing.T) {
+	for _, c := range []struct{ fault, says string }{
+		{"narrow", ""}, {"dies at work", ""}, {"leaks", "MB"}, {"crash", "did not change"}, {"quiet among members", ""},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			changes(t, rolloutFleet+"length_s: 30\n", func(k *emulate.Kept) error {
+				if err := putPlan(k, variant(t, c.fault)); err != nil {
+					return err
+				}
+				if err := begin(k, 5); err != nil {
+					return err
+				}
+				stop := make(chan struct{})
+				defer close(stop)
+				go func() { // a process that dies of its fault holds some: not its duty
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(50 * time.Millisecond):
+							k.Crashed(0)
+						}
+					}
+				}()
+				began := time.Now()
+				got, err := ended(k, 70*time.Second, 1, 2, 3, 4, 5, 6, 7)
+				if err != nil {
+					return err
+				}
+				t.Logf("%s after %v: %s", got.Way, time.Since(began).Round(100*time.Millisecond), got.Why)
+				if got.Way != "undone" || !strings.Contains(got.Why, c.says) {
+					t.Errorf("%+v", got)
+				}
+				list, err := generations(k)
+				if err != nil {
+					return err
+				}
+				for i, g := range list {
+					if i > 0 && g != 1 {
+						t.Errorf("router %d has had generation %d", i, g)
+					}
+				}
+				s, err := k.Until(0, 20*time.Second, func(s *handover.Standing) bool {
+					return s.State == "steady" && s.Serving != nil && strings.HasSuffix(s.Settled.Program, "quilldoor.test")
+				})
+				if err != nil {
+					return err
+				}
+				t.Logf("router 0 is back at generation %d", s.Serving.Generation)
+				return serves(k.Listen(0))
+			})
+		})
+	}
+}
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -98,6 +98,7 @@
 	r.bodies = buffer.NewPool(c.Limits.Held)
 	r.up = upstream.New(c.Limits, r.bodies, func(h *core.Hop, o core.Outcome) { r.core.Ended(clock(), h, o) }, r.log)
 	r.front = front.New(r.core, r.up, r.bodies, c.Limits)
+	r.front.Flow(c.Flow)
 	r.log.WithFields(logrus.Fields{"listen": c.Listen, "board": c.Board, "zone": r.set.Zone,
 		"rules": len(r.set.Rules), "cores": c.Cores, "memory_mb": c.MemoryMB, "clients_most": c.Limits.Clients,
 		"upstream_most": c.Limits.Upstream, "version": version()}).Info("starting")
--- a/internal/change/diff.go
+++ b/internal/change/diff.go
@@ -85,7 +85,7 @@
 // ownKeys are a router's own: those of others with the same settings differ.
 var ownKeys = []string{"config.name", "config.listen", "config.seed", "config.known", "config.board", "config.limits", "config.settings.Rank", "config.settings.Zone",
 	"operator.members.name", "operator.members.listen", "operator.members.place", "operator.members.peers", "operator.gateway.name",
-	"operator.gateway.listen", "operator.gateway.site", "operator.gateway.peers", "operator.gateway.cert", "operator.gateway.key", "operator.keep.folder", "operator.metrics.file",
+	"operator.gateway.listen", "operator.gateway.site", "operator.gateway.peers", "operator.gateway.cert", "operator.gateway.key", "operator.keep.folder", "operator.keep.plan", "operator.metrics.file",
 	"operator.disk.path", "operator.gateway.status_file"}
 
 // Digest of flat settings, the same at all routers that shall act alike.
--- a/internal/change/judge.go
+++ b/internal/change/judge.go
@@ -7,11 +7,13 @@
 
 // Ends counts how txns ended since a generation's start.
 type Ends struct {
-	Completed int64 `cbor:"1,keyasint,omitempty"`
-	Rejected  int64 `cbor:"2,keyasint,omitempty"`
-	Aborted   int64 `cbor:"3,keyasint,omitempty"`
-	Left      int64 `cbor:"4,keyasint,omitempty"` // the client went without an answer
-	Late      int64 `cbor:"5,keyasint,omitempty"` // of the answers
+	Completed int64   `cbor:"1,keyasint,omitempty"`
+	Rejected  int64   `cbor:"2,keyasint,omitempty"`
+	Aborted   int64   `cbor:"3,keyasint,omitempty"`
+	Left      int64   `cbor:"4,keyasint,omitempty"` // the client went without an answer
+	Late      int64   `cbor:"5,keyasint,omitempty"` // of the answers
+	Asked     float64 `cbor:"6,keyasint,omitempty"` // importance
+	Earned    float64 `cbor:"7,keyasint,omitempty"` // of it, by the remap rules' SLA times
 }
 
 func (e Ends) all() int64 { return e.Completed + e.Rejected + e.Aborted + e.Left }
@@ -19,11 +21,12 @@
 func (e Ends) bad() int64 { return min(e.Rejected+e.Aborted+e.Left+e.Late, e.all()) }
 
 func (e Ends) since(o Ends) Ends {
-	return Ends{e.Completed - o.Completed, e.Rejected - o.Rejected, e.Aborted - o.Aborted, e.Left - o.Left, e.Late - o.Late}
+	return Ends{e.Completed - o.Completed, e.Rejected - o.Rejected, e.Aborted - o.Aborted, e.Left - o.Left, e.Late - o.Late, e.Asked - o.Asked, e.Earned - o.Earned}
 }
 
-func (e Ends) and(o Ends) Ends {
-	return Ends{e.Completed + o.Completed, e.Rejected + o.Rejected, e.Aborted + o.Aborted, e.Left + o.Left, e.Late + o.Late}
+// And adds.
+func (e Ends) And(o Ends) Ends {
+	return Ends{e.Completed + o.Completed, e.Rejected + o.Rejected, e.Aborted + o.Aborted, e.Left + o.Left, e.Late + o.Late, e.Asked + o.Asked, e.Earned + o.Earned}
 }
 
 // Judge compares a new generation on trial with what the old one did before. It
@@ -53,14 +56,14 @@
 	if n := len(j.at); n > 0 && now-j.at[n-1] < second {
 		return
 	}
-	j.at, j.before = append(j.at, now), append(j.before, j.base.and(e))
+	j.at, j.before = append(j.at, now), append(j.before, j.base.And(e))
 	for len(j.at) > 1 && j.at[1] <= now-compareWith {
 		j.at, j.before = j.at[1:], j.before[1:]
 	}
 }
 
 // Follows says that a new generation is the old one now: what was before it counts on.
-func (j *Judge) Follows() { j.base, j.last = j.base.and(j.last), Ends{} }
+func (j *Judge) Follows() { j.base, j.last = j.base.And(j.last), Ends{} }
 
 // New notes what the new one has done by now; an error says how it is worse.
 func (j *Judge) New(e Ends) error {
@@ -70,7 +73,7 @@
 	}
 	m, was := 0.0, 0.0
 	if len(j.before) > 0 {
-		o := j.base.and(j.last).since(j.before[0])
+		o := j.base.And(j.last).since(j.before[0])
 		m, was = float64(o.all()), float64(o.bad())
 	}
 	p, q := bad/n, was/max(m, 1)
--- a/internal/emulate/kept.go
+++ b/internal/emulate/kept.go
@@ -12,6 +12,8 @@
 	"quilldoor/internal/memberlink"
 	"quilldoor/internal/members"
 	"quilldoor/internal/record"
+	"quilldoor/internal/rollout"
+	"quilldoor/internal/script"
 )
 
 // keptReady is how long a generation may take to get ready, seconds.
@@ -42,6 +44,26 @@
 // Config is the platform's configuration of a router.
 func (k *Kept) Config(i int) string { return k.routers[i].config() }
 
+// Plan is where the routers look for a rollout's; it is not there at first.
+func (k *Kept) Plan() string { return filepath.Join(k.dir, "plan.yaml") }
+
+// Name of a router among members, and its office.
+func (k *Kept) Name(i int) (name, office string) {
+	return nameOf(i), script.Zone(k.world.Office(i))
+}
+
+// Rollout says a word on it to a router, 0: only asks.
+func (k *Kept) Rollout(i int, c rollout.Command) (*rollout.Standing, error) {
+	w, err := k.Ask(i, &handover.Word{Kind: handover.Roll, Command: c})
+	if err != nil {
+		return nil, err
+	}
+	if !w.OK || w.Rollout == nil {
+		return nil, errors.New(w.Note)
+	}
+	return w.Rollout, nil
+}
+
 // Listen is where clients reach it.
 func (k *Kept) Listen(i int) string { return k.routers[i].listen }
 
--- a/internal/emulate/relay.go
+++ b/internal/emulate/relay.go
@@ -46,6 +46,9 @@
 	}
 	if f := &r.set.Fleet; f.Keep && !r.earlier() {
 		own.Keep = &operator.Keep{Folder: (&Kept{r.sockets}).Folder(r.id), ReadyS: keptReady, TrialS: f.TrialS}
+		if f.Members {
+			own.Keep.Plan = (&Kept{r.sockets}).Plan()
+		}
 	}
 	text, err := yaml.Marshal(own)
 	if err != nil {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,6 +31,8 @@
 	gate     atomic.Pointer[gateway.Gateway] // nil: no other site
 	late     atomic.Int64                    // answers after their time limits
 	ends     [endKinds]atomic.Int64          // answers since the start
+	worth    worth                           // of them
+	flow     float64                         // bytes a second of a sending client; 0: not told
 	moving   atomic.Bool                     // clients are to come back on new connections
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -61,7 +63,40 @@
 
 // Ends are how many txns ended how since the start. Left: the client went without
 // an answer. Late are of all answers.
-type Ends struct{ Completed, Rejected, Aborted, Left, Late int64 }
+type Ends struct {
+	Completed, Rejected, Aborted, Left, Late int64
+
+	Asked, Earned float64 // importance, by the remap rules
+}
+
+// worth sums importance. It is kept since the start.
+type worth struct {
+	mu            sync.Mutex
+	asked, earned float64
+}
+
+// earn counts a txn's importance, and what its answer earns of it: all within the
+// rule's SLA time and its own sending time, a share after it.
+func (f *Front) earn(a *ask, completed bool, bytes int) {
+	rule, _ := f.core.Rule(a.event.Rule)
+	got := 0.0
+	if completed {
+		sla := float64(rule.SLA)
+		if f.flow > 0 {
+			sla += rule.Stretch * float64(bytes) / f.flow * 1e6
+		}
+		if got = rule.Importance; float64((time.Since(a.first) + a.waited).Microseconds()) > sla {
+			got *= rule.LateShare
+		}
+	}
+	f.worth.mu.Lock()
+	defer f.worth.mu.Unlock()
+	f.worth.asked += rule.Importance
+	f.worth.earned += got
+}
+
+// Flow sets the pace at which a client is sent to, bytes a second, before it serves.
+func (f *Front) Flow(bytesPerS int64) { f.flow = float64(bytesPerS) }
 
 const (
 	endCompleted = iota
@@ -74,7 +109,10 @@
 
 // Ends tells them.
 func (f *Front) Ends() Ends {
-	return Ends{f.ends[endCompleted].Load(), f.ends[endRejected].Load(), f.ends[endAborted].Load(), f.ends[endLeft].Load(), f.ends[endLate].Load()}
+	f.worth.mu.Lock()
+	defer f.worth.mu.Unlock()
+	return Ends{f.ends[endCompleted].Load(), f.ends[endRejected].Load(), f.ends[endAborted].Load(), f.ends[endLeft].Load(), f.ends[endLate].Load(),
+		f.worth.asked, f.worth.earned}
 }
 
 // Move makes every further answer the last on its connection, so that clients come
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -126,6 +126,8 @@
 	})
 	switch err {
 	case core.ErrFull:
+		f.ends[endRejected].Add(1)
+		f.earn(a, false, 0)
 		return f.plain(c, 503, last)
 	case core.ErrTwin:
 		return f.plain(c, 400, last)
@@ -138,6 +140,7 @@
 			}
 			if !here {
 				f.ends[endLeft].Add(1)
+				f.earn(a, false, 0)
 				if final != nil {
 					f.leave(*final) // it came as the client left
 				}
@@ -147,6 +150,7 @@
 				gate.Home(final.Kind == core.Rejected)
 				if final.Kind == core.Rejected && !f.across(c, gate, a, final, limit, arrived) {
 					f.ends[endLeft].Add(1)
+					f.earn(a, false, 0)
 					return false // it left meanwhile
 				}
 			}
@@ -155,6 +159,7 @@
 				f.ends[endLate].Add(1)
 			}
 			f.ends[endOf[final.Kind]].Add(1)
+			f.earn(a, final.Kind == core.Completed, size(final))
 			if f.shelf.Load() != nil {
 				if out := f.settle(a, kept, tag, final, limit); out != nil {
 					f.leave(*final)
@@ -169,6 +174,14 @@
 	}
 }
 
+// size of a completed txn's answer.
+func size(o *core.Order) int {
+	if r, ok := o.Reply.(*upstream.Reply); ok {
+		return r.Len()
+	}
+	return 0
+}
+
 // endOf counts a final order.
 var endOf = map[core.OrderKind]int{core.Completed: endCompleted, core.Rejected: endRejected, core.Aborted: endAborted}
 
@@ -207,6 +220,7 @@
 		return nil, false
 	}
 	f.ends[endCompleted].Add(1)
+	f.earn(a, true, kept.Len())
 	f.core.Kept(now.UnixMicro(), a.event)
 	return kept, true
 }
--- a/internal/generation/generation.go
+++ b/internal/generation/generation.go
@@ -36,6 +36,7 @@
 	Reload()
 	Beat() (ends change.Ends, outs map[string][3]float64, txns int)
 	Ready() bool
+	Post(to string, body []byte) // to another router of the site
 }
 
 // What the keeper hands down: the folder, the generation's number, the sockets'
@@ -70,7 +71,8 @@
 	state  *handover.State // of the predecessor, or one's own from before
 	mine   bool            // it is one's own
 	hold   bool
-	told   bool // that it is ready
+	told   bool                // that it is ready
+	came   chan *handover.Word // letters of other routers
 	lastIn string
 }
 
@@ -84,7 +86,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", EnvGeneration, err)
 	}
-	g := &Generation{Number: n, Sockets: map[string]*os.File{}, folder: folder, names: strings.Split(env(EnvSockets), ","), start: time.Now(), part: change.NewPart()}
+	g := &Generation{Number: n, Sockets: map[string]*os.File{}, folder: folder, names: strings.Split(env(EnvSockets), ","), start: time.Now(), part: change.NewPart(),
+		came: make(chan *handover.Word, 64)}
 	if g.conn, err = handover.FromFile(os.NewFile(firstFD, "keeper")); err != nil {
 		return nil, fmt.Errorf("keeper: %w", err)
 	}
@@ -169,6 +172,9 @@
 			do = g.part.Handle(g.now(), change.ToEnd)
 		case w := <-words:
 			do = g.heard(host, w)
+		case w := <-g.came:
+			g.say(w)
+			continue
 		case <-beat.C:
 			g.beat(host)
 			continue
@@ -243,6 +249,8 @@
 		host.Bound(w.Bound)
 	case handover.Beside:
 		host.Beside(w.Outs)
+	case handover.Letter:
+		host.Post(w.To, w.Body)
 	case handover.Own, handover.Resume:
 		if w.State != nil {
 			g.state, g.mine = w.State, false
@@ -287,6 +295,14 @@
 	return false, nil
 }
 
+// Letter passes a letter of another router on to the keeper. It may be lost.
+func (g *Generation) Letter(from string, body []byte) {
+	select {
+	case g.came <- &handover.Word{Kind: handover.Letter, From: from, Body: body}:
+	default:
+	}
+}
+
 // say tells the keeper. Without one nothing is lost: a new one asks.
 func (g *Generation) say(w *handover.Word) {
 	if g.conn != nil && g.conn.Say(w) != nil {
--- a/internal/handover/file.go
+++ b/internal/handover/file.go
@@ -31,11 +31,20 @@
 	Next     uint64    `json:"next"` // number of the next generation
 	Settled  *Manifest `json:"settled"`
 	Previous *Manifest `json:"previous,omitempty"`
+	Rollout  *Begun    `json:"rollout,omitempty"`
 	// Running are processes that a keeper to come may find, with their start as the
 	// system tells it: a number alone may be another one's by then.
 	Running []Running `json:"running,omitempty"`
 }
 
+// Begun is what a rollout has made of this router.
+type Begun struct {
+	Run    uint64    `json:"run,string"`
+	New    uint64    `json:"new,omitempty"` // generation; 0: it is not on the new one
+	Before *Manifest `json:"before,omitempty"`
+	Failed string    `json:"failed,omitempty"`
+}
+
 // Running is a process of a generation.
 type Running struct {
 	Generation uint64 `json:"generation"`
--- a/internal/handover/word.go
+++ b/internal/handover/word.go
@@ -20,6 +20,7 @@
 
 	"quilldoor/internal/change"
 	"quilldoor/internal/members"
+	"quilldoor/internal/rollout"
 	"quilldoor/logic"
 )
 
@@ -52,7 +53,8 @@
 	Back                      //
 	Status                    //
 	Report                    // Note; Over: the last one
-	lastKind  = Report
+	Letter                    // to the router To, or from From: Body, among members
+	Roll                      // of a tool: Command of a rollout; 0: only Report, with Rollout
 )
 
 // Word is what is said.
@@ -77,6 +79,11 @@
 	FellBack   bool                  `cbor:"18,keyasint,omitempty"`
 	Standing   *Standing             `cbor:"19,keyasint,omitempty"`
 	Txns       int                   `cbor:"20,keyasint,omitempty"`
+	To         string                `cbor:"22,keyasint,omitempty"`
+	From       string                `cbor:"23,keyasint,omitempty"`
+	Body       []byte                `cbor:"24,keyasint,omitempty"`
+	Command    rollout.Command       `cbor:"25,keyasint,omitempty"`
+	Rollout    *rollout.Standing     `cbor:"26,keyasint,omitempty"`
 	Hold       bool                  `cbor:"21,keyasint,omitempty"` // of Own and Resume: somebody may have spent the router's part of cold budgets
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -29,6 +29,8 @@
 	Program  string // of the first generation
 	Platform string // the platform's configuration: what is new at each start is always taken from there
 	Operator string // the operator's file of the first generation; "": none
+	Plan     string // of rollouts; "": none
+	Member   string // the router's name among members
 	Log      *logrus.Entry
 }
 
@@ -73,6 +75,7 @@
 	fell     time.Time
 	fallMS   int64
 	most     change.Use
+	roll     rolling
 	lock     *os.File
 	control  *net.UnixListener
 	ticked   time.Time
@@ -85,6 +88,8 @@
 	manifest *handover.Manifest
 	bound    change.Use
 	note     string // why it was refused, or fell back
+	run      uint64 // of the rollout that wants it; 0: the operator does
+	back     bool   // that is on its way back
 }
 
 // ErrTaken says that another keeper has the folder.
@@ -373,6 +378,7 @@
 	if now.Sub(k.sampled) >= sampleEvery {
 		k.sampled = now
 		k.sample(now)
+		k.rollOn(now)
 	}
 	if k.machine.State == change.Stopping && len(k.procs()) == 0 {
 		k.feed(change.AllGone)
@@ -577,6 +583,7 @@
 // tell reports the end of a change to all who wait for it.
 func (k *Keeper) tell(ok, back bool, format string, args ...any) {
 	k.last = fmt.Sprintf(format, args...)
+	defer k.rolled(k.plan, ok, k.last)
 	k.Log.WithField("ok", ok).Info("keeper: " + k.last)
 	for _, c := range k.tools {
 		c.Say(&handover.Word{Kind: handover.Report, Note: k.last, OK: ok, FellBack: back, Over: true})
@@ -590,7 +597,11 @@
 // tidy removes folders of generations that nobody needs any more.
 func (k *Keeper) tidy() {
 	need := map[string]bool{}
-	for _, m := range []*handover.Manifest{k.file.Settled, k.file.Previous} {
+	keep := []*handover.Manifest{k.file.Settled, k.file.Previous}
+	if k.file.Rollout != nil {
+		keep = append(keep, k.file.Rollout.Before)
+	}
+	for _, m := range keep {
 		if m != nil {
 			need[strconv.FormatUint(m.Generation, 10)] = true
 		}
--- a/internal/keeper/plan.go
+++ b/internal/keeper/plan.go
@@ -274,6 +274,8 @@
 	switch w := c.word; w.Kind {
 	case handover.Status:
 		over(true, "")
+	case handover.Roll:
+		k.command(c, w.Command)
 	case handover.Apply:
 		k.apply(c, &handover.Manifest{Program: w.Program, Config: w.Config, Operator: w.Operator}, over)
 	case handover.Back:
--- a/internal/keeper/proc.go
+++ b/internal/keeper/proc.go
@@ -159,6 +159,8 @@
 		}
 	}
 	switch w.Kind {
+	case handover.Letter:
+		k.letter(w)
 	case handover.Hello:
 		p.hello = true
 		if w.Format < 1 {
--- a/internal/memberlink/link.go
+++ b/internal/memberlink/link.go
@@ -143,6 +143,14 @@
 	}
 }
 
+// Post sends a letter to a router, if it is there.
+func (l *Link) Post(to string, body []byte) {
+	l.mu.Lock()
+	out := l.node.Post(to, body)
+	l.mu.Unlock()
+	l.send(out)
+}
+
 // deliver hands letters to the reader and posts what it says back.
 func (l *Link) deliver(letters []members.Letter) {
 	if l.reader == nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -35,6 +35,7 @@
 	Folder string  `yaml:"folder"` // the keeper's own
 	ReadyS float64 `yaml:"ready_s"`
 	TrialS float64 `yaml:"trial_s"`
+	Plan   string  `yaml:"plan,omitempty"` // of rollouts; "": none
 }
 
 // Members lets the routers of a site know each other.
@@ -175,6 +176,9 @@
 		}
 	}
 	if k := c.Keep; k != nil {
+		if k.Plan != "" && c.Members == nil {
+			return yamlfile.Wrong("keep.plan", "rollouts go among routers that know each other: members is missing")
+		}
 		if err := k.check(); err != nil {
 			return err
 		}
@@ -191,6 +195,9 @@
 	if !filepath.IsAbs(k.Folder) || len(k.Folder) > mostFolder {
 		return yamlfile.Wrong("keep.folder", "not an absolute path of up to %d bytes", mostFolder)
 	}
+	if k.Plan != "" && !filepath.IsAbs(k.Plan) {
+		return yamlfile.Wrong("keep.plan", "not an absolute path")
+	}
 	k.ReadyS, k.TrialS = cmp.Or(k.ReadyS, 10), cmp.Or(k.TrialS, 30)
 	if !(k.ReadyS >= 0.1 && k.ReadyS <= 600) {
 		return yamlfile.Wrong("keep.ready_s", "%g is not within 0.1 and 600", k.ReadyS)
--- a/internal/rollout/node.go
+++ b/internal/rollout/node.go
@@ -401,7 +401,8 @@
 
 // relearn gathers what the others hold, until a majority of the plan has told: any
 // majority that promised or took something before has one of them in it. Where all
-// others have lost everything, too, there is nothing left to be told.
+// others have answered, some of them that they have lost everything, too, nobody is
+// left who could hold more.
 func (n *Node) relearn(at int, m *Msg) {
 	n.recovered[at] = m
 	told := 0
@@ -410,7 +411,7 @@
 			told++
 		}
 	}
-	if told < n.majority() && (told > 0 || len(n.recovered) < len(n.plan.Routers)-1) {
+	if told < n.majority() && len(n.recovered) < len(n.plan.Routers)-1 {
 		return
 	}
 	for _, r := range n.recovered {
--- a/internal/rollout/sim_test.go
+++ b/internal/rollout/sim_test.go
@@ -282,6 +282,7 @@
 		if seed%2 == 1 {
 			f.worse = 0.25
 		}
+		f.play(6)
 		f.nodes[seed%7].Command(f.clock(int(seed%7)), Start)
 		leader := func() int {
 			for i, n := range f.nodes {
@@ -350,6 +351,42 @@
 	t.Logf("ends: %v", ends)
 }
 
+// Where nobody holds anything, as at the very first, all begin once all have said so;
+// where one alone has lost it, a majority of the others is enough.
+func TestRecovery(t *testing.T) {
+	f := newFleet(t, planText, 5)
+	f.lasts = false
+	for i := range f.nodes {
+		f.down(i)
+	}
+	for i := range f.nodes[1:] {
+		f.up(i + 1)
+	}
+	f.play(5)
+	for i := range f.nodes[1:] {
+		if f.nodes[i+1].recovering == 0 {
+			t.Errorf("%d takes part, and one is missing", i+1)
+		}
+	}
+	f.up(0)
+	f.play(5)
+	for i := range f.nodes {
+		if f.nodes[i].recovering != 0 {
+			t.Errorf("%d asks for ever", i)
+		}
+	}
+	f.nodes[0].Command(f.clock(0), Start)
+	f.play(20)
+	held := f.nodes[3].Durable
+	f.down(3)
+	f.up(3)
+	f.down(5)
+	f.play(3)
+	if d := f.nodes[3].Durable; d.Promised < held.Promised || d.State.Seq < held.State.Seq || held.State.Seq == 0 {
+		t.Errorf("it held %+v and holds %+v", held, d)
+	}
+}
+
 // Each guard is needed: without it the same trouble goes wrong.
 func TestWrongRollouts(t *testing.T) {
 	for name, w := range map[string]wrong{"a third is enough": {noMajority: true}, "no lease, stale words": {noLease: true, staleView: true}} {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -205,6 +205,9 @@
 	return math.Sqrt(2 * x / (float64(n) * float64(n) * rho2) * math.Log(math.Sqrt(x)/(chance/2)))
 }
 
+// Moments are a figure's differences so far.
+func (j *Judge) Moments(f Figure) []float64 { return j.diffs[f] }
+
 // Say judges what was seen. Why names the figure.
 func (j *Judge) Say() (w Word, why string) {
 	if len(j.diffs[0]) < leastMoments {
