--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -90,6 +90,7 @@
 	note     string // why it was refused, or fell back
 	run      uint64 // of the rollout that wants it; 0: the operator does
 	back     bool   // that is on its way back
+	alone    bool   // by its own decision
 }
 
 // ErrTaken says that another keeper has the folder.
--- a/internal/keeper/rollout.go
+++ b/internal/keeper/rollout.go
@@ -203,7 +203,8 @@
 		k.feed(change.Apply)
 	case !w.New && b.Before != nil:
 		k.Log.WithField("run", v.Run).Info("rollout: this router goes back")
-		k.plan = &plan{manifest: &handover.Manifest{Program: b.Before.Program, Config: b.Before.Config, Operator: b.Before.Operator}, run: b.Run, back: true}
+		k.plan = &plan{manifest: &handover.Manifest{Program: b.Before.Program, Config: b.Before.Config, Operator: b.Before.Operator}, run: b.Run, back: true,
+			alone: v.Way == rollout.Forward || v.Way == rollout.Holding}
 		k.feed(change.Apply)
 	}
 }
@@ -220,7 +221,9 @@
 	case !p.back:
 		b.Failed = note
 	case ok:
-		b.New = 0
+		if b.New = 0; p.alone {
+			b.Failed = "it heard of nobody for long"
+		}
 	default: // the new generation does not even let go: it is ended, and the old one started
 		k.Log.WithField("why", note).Warn("rollout: back by force")
 		k.file.Settled, k.file.Previous, b.New = b.Before, k.file.Settled, 0
--- a/internal/rollout/lead.go
+++ b/internal/rollout/lead.go
@@ -213,10 +213,8 @@
 		fails := h.r.Run == s.Run && h.r.Failed != ""
 		switch {
 		case s.Way == Backward || s.Way == Done:
-		case s.Batch.Has(i) && fails:
-			return harmed, fmt.Sprintf("%s did not change: %s", name, h.r.Failed)
-		case s.Changed.Has(i) && !gone && fails:
-			return harmed, fmt.Sprintf("%s went back by itself: %s", name, h.r.Failed)
+		case fails:
+			return harmed, fmt.Sprintf("%s did not change, or went back by itself: %s", name, h.r.Failed)
 		case s.Changed.Has(i) && h.r.OnNew && h.r.Restarts > h.starts:
 			return harmed, fmt.Sprintf("%s has died and was started again", name)
 		case s.Changed.Has(i) && h.r.OnNew && h.memory > 0 && h.r.MemoryMB > n.plan.Guards.Memory*h.memory+16:
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -60,6 +60,10 @@
 	Memory   float64 `yaml:"memory"` // of the new one's, in the old one's
 }
 
+// leastSilent is longer than it takes until another router leads, when the one that did
+// has died: four seconds in which nobody is followed, and places that stand in turn.
+const leastSilent = 15
+
 // MostRouters of a plan.
 const MostRouters = 512
 
@@ -129,7 +133,7 @@
 		key       string
 		v         float64
 		low, high float64
-	}{{"at_once", float64(p.AtOnce), 1, MostRouters}, {"back_at_once", float64(p.BackOnce), 1, MostRouters}, {"silent_s", p.SilentS, 1, 3600},
+	}{{"at_once", float64(p.AtOnce), 1, MostRouters}, {"back_at_once", float64(p.BackOnce), 1, MostRouters}, {"silent_s", p.SilentS, leastSilent, 3600},
 		{"guards.most_loss", g.MostLoss, g.Loss, 1}, {"guards.loss", g.Loss, 0.0001, 1}, {"guards.refusals", g.Refusals, 0.0001, 1},
 		{"guards.failures", g.Failures, 0.0001, 1}, {"guards.chance", g.Chance, 0.0001, 0.5}, {"guards.memory", g.Memory, 1, 100}} {
 		if !(n.v >= n.low && n.v <= n.high) {
