--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -31,6 +31,10 @@
 	Settings func(*settings.Setup)       // changes what routers are handed
 	Deaf     func(world.Notice) bool     // notices that they don't hear
 	Answer   func(txn string, n int) int // how often they give an answer; nil: once
+	Refuse   func(router int) bool       // txns that it refuses as they come; nil: none
+
+	Each  func(now int64) // ten times a second; on the virtual clock
+	ready func(*virtual)
 }
 
 // Result is what came of a run.
@@ -140,6 +144,17 @@
 	}
 	v.settle()
 	v.know()
+	if opt.ready != nil {
+		opt.ready(v)
+	}
+	if opt.Each != nil {
+		var each func()
+		each = func() {
+			opt.Each(v.world.Now())
+			v.world.After(100_000, each)
+		}
+		v.world.After(100_000, each)
+	}
 	end, told := v.world.Length(), int64(0)
 	for steps := 0; !v.world.Over(); steps++ {
 		now := v.world.Next()
@@ -357,7 +372,7 @@
 	if r.wokeAt > 0 && v.now()-r.wokeAt < standstill.After {
 		left -= v.now() - r.stoppedAt
 	}
-	if left <= 0 {
+	if left <= 0 || v.opt.Refuse != nil && v.opt.Refuse(r.id) {
 		v.world.Final(r.id, a.Txn, "rejected", 0, 0)
 		return
 	}
--- a/internal/rollout/lead.go
+++ b/internal/rollout/lead.go
@@ -9,6 +9,7 @@
 // lead is what the router that leads knows beside the register. A new one learns it
 // anew; watching begins again with it.
 type lead struct {
+	term    uint64
 	state   State // that is being decided
 	decided State // that a majority holds
 	known   bool  // something was decided in this term
@@ -19,6 +20,11 @@
 	lease   int64
 	beat    int64
 
+	told    int64 // when a router was last told that it may go forward
+	turning bool  // nobody is told any more, since all are to go back
+	after   finding
+	turnWhy string
+
 	reports []heard
 	watch   int64 // since when all of the stage have changed; 0: they have not
 	judge   *verdict.Judge
@@ -39,7 +45,7 @@
 }
 
 func newLead(n *Node, s State) *lead {
-	l := &lead{state: s, decided: s, sentAt: map[uint64]int64{}, seqAt: map[uint64]uint64{}, acks: map[uint64]Set{}, reports: make([]heard, len(n.plan.Routers))}
+	l := &lead{term: n.term, state: s, decided: s, sentAt: map[uint64]int64{}, seqAt: map[uint64]uint64{}, acks: map[uint64]Set{}, reports: make([]heard, len(n.plan.Routers))}
 	l.state.Seq++ // decided anew in this term, whatever it was
 	for i := range l.reports {
 		l.reports[i].at = n.now // who has never been heard counts from now
@@ -52,6 +58,12 @@
 // holds tells whether a majority has answered lately enough.
 func (l *lead) holds(now int64) bool { return l.known && now < l.lease }
 
+// closed tells whether nobody is told to go forward any more: all are to go back, and
+// that is not decided yet.
+func (l *lead) closed() bool {
+	return l.turning || l.state.Way == Backward && l.decided.Way != Backward
+}
+
 func (l *lead) report(now int64, at int, r *Report) {
 	h := &l.reports[at]
 	if r.OnNew != h.r.OnNew {
@@ -73,8 +85,8 @@
 			l.state, l.beat = next, 0
 		}
 	}
-	if n.now-l.beat < beatEvery {
-		return
+	if n.now-l.beat < beatEvery || l.term < n.Promised && !n.wrong.leadsOn {
+		return // what was promised to another is kept
 	}
 	l.beat = n.now
 	l.round++
@@ -83,10 +95,10 @@
 	delete(l.sentAt, l.round-keep)
 	delete(l.seqAt, l.round-keep)
 	delete(l.acks, l.round-keep)
-	n.Durable.Held, n.State = n.term, l.state
+	n.Durable.Held, n.State = l.term, l.state
 	n.stuck = n.now + stickFor
 	s := l.state
-	n.toAll(Msg{Kind: Accept, Term: n.term, Round: l.round, State: &s})
+	n.toAll(Msg{Kind: Accept, Term: l.term, Round: l.round, State: &s})
 	l.settle(n, l.round)
 }
 
@@ -108,7 +120,10 @@
 		l.decided, l.known = l.state, true
 		l.watch, l.judge = 0, nil
 	}
-	if l.known { // who leads hears itself
+	if l.known && !l.closed() { // who leads hears itself
+		if l.decided.Batch.Has(n.me) && l.decided.Way != Backward {
+			l.told = n.now
+		}
 		n.view, n.viewAt = l.decided, max(n.viewAt, l.sentAt[round])
 	}
 }
@@ -168,7 +183,10 @@
 // step works out the state that follows the decided one; the same Seq: nothing does.
 func (l *lead) step(n *Node) State {
 	s := l.decided
-	found, why := l.find(n)
+	found, why := l.after, l.turnWhy
+	if !l.turning {
+		found, why = l.find(n)
+	}
 	for _, r := range stepTable {
 		if r.way != s.Way || r.found != found {
 			continue
@@ -186,6 +204,12 @@
 		} else if r.do != nil {
 			r.do(l, n, &next)
 		}
+		// Who was told forward a moment ago may still begin: that time is waited out.
+		if next.Way == Backward && s.Way != Backward && n.now-l.told < actWithin*6/5 && !n.wrong.turnsAtOnce {
+			l.turning, l.after, l.turnWhy = true, found, why
+			return s
+		}
+		l.turning = false
 		next.Seq++
 		return next
 	}
--- a/internal/rollout/node.go
+++ b/internal/rollout/node.go
@@ -135,12 +135,13 @@
 	recovered  map[int]*Msg
 	askedAll   int64
 
-	leads   *lead // nil: another one leads, or nobody
-	leader  int   // who was heard to lead; -1: nobody
-	heard   int64 // from who leads
-	stuck   int64 // nothing is promised before
-	stood   int64 // when it stood last
-	term    uint64
+	leads   *lead  // nil: another one leads, or nobody
+	leader  int    // who was heard to lead; -1: nobody
+	heard   int64  // from who leads
+	stuck   int64  // nothing is promised before
+	stood   int64  // when it stood last
+	term    uint64 // in which it stood last
+	above   uint64 // the highest that another has told
 	votes   map[int]*Msg
 	nonce   uint64
 	askedAt int64
@@ -154,10 +155,14 @@
 
 // wrong switches guards off. Only tests set it.
 type wrong struct {
-	noLease    bool // who leads acts on what it decided once
-	noMajority bool // a third is enough
-	staleView  bool // what was told is acted on whenever
-	forgets    bool // a restarted router takes part at once, with nothing
+	noLease       bool // who leads acts on what it decided once
+	noMajority    bool // a third is enough
+	staleView     bool // what was told is acted on whenever
+	anyOfTerm     bool // of a term's states not the latest is gone on from
+	promisesFirst bool // who stands refuses all others at once
+	turnsAtOnce   bool // who leads does not wait for those it has let go forward
+	leadsOn       bool // who leads does not hear that its time is over
+	forgets       bool // a restarted router takes part at once, with nothing
 }
 
 // NewNode starts a router's part. Durable nil: it has lost what it knew; fresh: there
@@ -294,12 +299,16 @@
 	return out
 }
 
-// stand asks to lead in a term of its own: terms are told apart by place.
+// stand asks to lead in a term of its own: terms are told apart by place. It promises
+// itself only once a majority has: one that can't be chosen, since the others follow
+// somebody, would else refuse that one's word for ever.
 func (n *Node) stand() {
 	const places = 1024
 	n.stood = n.now
-	n.term = (max(n.Promised, n.term)/places+1)*places + uint64(n.me)
-	n.Promised = n.term
+	n.term = (max(n.Promised, n.term, n.above)/places+1)*places + uint64(n.me)
+	if n.wrong.promisesFirst {
+		n.Promised = n.term
+	}
 	n.votes = map[int]*Msg{n.me: {Held: n.Durable.Held, State: &n.Durable.State}}
 	n.toAll(Msg{Kind: Prepare, Term: n.term})
 	n.count()
@@ -307,12 +316,13 @@
 
 // count makes this router lead, once a majority has promised.
 func (n *Node) count() {
-	if n.votes == nil || len(n.votes) < n.majority() || n.term != n.Promised {
+	if n.votes == nil || len(n.votes) < n.majority() || n.term < n.Promised {
 		return
 	}
+	n.Promised = n.term
 	best := n.votes[n.me]
 	for _, v := range n.votes {
-		if v.Held > best.Held {
+		if v.Held > best.Held || v.Held == best.Held && v.State.Seq > best.State.Seq && !n.wrong.anyOfTerm {
 			best = v
 		}
 	}
@@ -361,18 +371,20 @@
 			n.count()
 		}
 	case Refuse:
-		n.term = max(n.term, m.Term) // the next one is above it
+		if n.above = max(n.above, m.Term); n.leads != nil && m.Term > n.leads.term && !n.wrong.leadsOn {
+			n.leads, n.leader = nil, -1 // its time is over
+		}
 	case Accept:
 		if m.State == nil || m.Term < n.Promised || m.Term == n.Durable.Held && m.State.Seq < n.State.Seq {
 			n.send(at, Msg{Kind: Refuse, Term: n.Promised})
 			break
 		}
-		n.Promised, n.Durable.Held, n.State = m.Term, m.Term, *m.State
+		n.Promised, n.Durable.Held, n.State, n.votes = m.Term, m.Term, *m.State, nil
 		n.stuck = n.now + stickFor
 		n.follow(at)
 		n.send(at, Msg{Kind: Accepted, Term: m.Term, Round: m.Round, Nonce: m.State.Seq})
 	case Accepted:
-		if n.leads != nil && m.Term == n.term {
+		if n.leads != nil && m.Term == n.leads.term {
 			n.leads.accepted(n, at, m)
 		}
 	case Ask:
@@ -382,6 +394,12 @@
 		n.leads.report(n.now, at, m.Report)
 		if n.leads.holds(n.now) || n.wrong.noLease {
 			s := n.leads.decided
+			if s.Batch.Has(at) && s.Way != Backward {
+				if n.leads.closed() {
+					break
+				}
+				n.leads.told = n.now
+			}
 			n.send(at, Msg{Kind: Tell, Nonce: m.Nonce, State: &s})
 		}
 	case Tell:
