--- a/cmd/quilldoor/change_test.go
+++ b/cmd/quilldoor/change_test.go
@@ -170,6 +170,7 @@
 		back, dies  bool
 	}{
 		{"no start", "has ended", false, false},
+		{"never ready", "", false, false},
 		{"silent", "has said nothing for", true, true},
 		{"mute", "", true, true},
 		{"crash", "has ended", true, true},
