--- a/internal/change/room.go
+++ b/internal/change/room.go
@@ -9,7 +9,7 @@
 
 // What the keeper itself takes at the most, and the least that a router works with.
 const (
-	KeeperMB, KeeperFDs = 16, 32 // 9 to 11 MB measured; descriptors: sockets, children, tools, files
+	KeeperMB, KeeperFDs = 16, 32 // 10 to 12 MB measured; descriptors: sockets, children, tools, files
 	leastMB, leastFDs   = 24, 64
 	// A generation that hands over goes on with what it has: a tenth more covers what
 	// comes while it answers.
