Bound the commands that a rollout's router keeps

Need: each word of another router that carried a command was kept until it was done.

Change: eight at the most.

Measured: all tests of the package green.

--- a/internal/rollout/node.go
+++ b/internal/rollout/node.go
@@ -255,7 +255,16 @@
 	if c == Start {
 		n.stood, n.heard = n.now-second, n.now-standAfter-int64(len(n.plan.Routers))*standStep // it stands at once
 	}
-	n.orders = append(n.orders, c)
+	n.order(c)
+}
+
+// order keeps a few commands until they are done; what comes beyond is lost, and asked
+// for again by whoever wants it.
+func (n *Node) order(c Command) {
+	const most = 8
+	if len(n.orders) < most {
+		n.orders = append(n.orders, c)
+	}
 }
 
 // Tick does what time brings. It wants to be called some ten times a second.
@@ -411,7 +420,7 @@
 		n.send(at, Msg{Kind: Recovered, Nonce: m.Nonce, Term: n.Promised, Held: n.Durable.Held, State: &s})
 	case Order:
 		if n.leads != nil {
-			n.orders = append(n.orders, m.Word)
+			n.order(m.Word)
 		}
 	}
 	return n.take()
