--- a/internal/keeper/rollout.go
+++ b/internal/keeper/rollout.go
@@ -31,6 +31,7 @@
 	last   change.Ends // of that
 	of     uint64      // its number
 	way    string
+	mute   bool // the register could not be written
 }
 
 // rollFile keeps a router's part of the register.
@@ -111,12 +112,13 @@
 			err = handover.Put(k.path(rollFile), text)
 		}
 		if err != nil {
-			k.Log.WithError(err).Debug("rollout: the register can't be written")
-			// Without it a promise would not last: nothing is said. A router that never
-			// writes takes no part.
+			if !r.mute {
+				k.Log.WithError(err).Error("rollout: the register can't be written, this router takes no part")
+			}
+			r.mute = true // a promise that would not last is not made
 			return
 		}
-		r.wrote = d
+		r.wrote, r.mute = d, false
 	}
 	p := k.serving()
 	for _, o := range out {
