Wait for a keeper to be steady and for the killed to be gone before judging kept runs

The emulator now waits for the keeper's word, notes a crash again once the process has ended, and lets clients come as long as a test's driver takes (EndWithDrive).

--- a/internal/emulate/kept.go
+++ b/internal/emulate/kept.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -116,12 +118,29 @@
 	})
 	select {
 	case err := <-done:
+		if err == nil && s == syscall.SIGKILL {
+			k.gone(i, pid)
+		}
 		return err
 	case <-k.ctx.Done():
 		return k.ctx.Err()
 	}
 }
 
+// gone waits until a process that was killed has ended. On a busy machine that takes
+// milliseconds, in which the system goes on accepting connections for it: what it held
+// by then was never its duty either.
+func (k *Kept) gone(i, pid int) {
+	for k.ctx.Err() == nil {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if _, state, ok := strings.Cut(string(stat), ") "); err != nil || !ok || state[0] == 'Z' || state[0] == 'X' {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	k.Crashed(i)
+}
+
 // Crashed notes that a process of a router has been, or will be, killed by its
 // keeper: what it holds is no longer its duty.
 func (k *Kept) Crashed(i int) {
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -41,6 +41,8 @@
 	// Drive is called beside the run where the script's routers are kept, once all are
 	// ready. The run goes on until it returns. Its error ends it.
 	Drive func(context.Context, *Kept) error
+	// EndWithDrive lets no more clients come once it has returned.
+	EndWithDrive bool
 }
 
 // slackOnSockets is how much longer answers may take: the platform's 50 ms and the
@@ -230,8 +232,8 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	told := int64(0)
-	for end := v.world.Length(); ; {
-		now := v.now()
+	for {
+		now, end := v.now(), v.world.Length()
 		if v.world.Over() || now > end {
 			if v.drive != nil {
 				return <-v.drive
@@ -257,6 +259,10 @@
 			if v.drive = nil; err != nil {
 				return err
 			}
+			if v.conf.EndWithDrive {
+				v.world.At(v.now())
+				v.world.Close()
+			}
 		case <-v.ctx.Done():
 			return v.ctx.Err()
 		}
@@ -737,7 +743,7 @@
 		}
 		if res, err := r.client.Get("http://" + r.listen + "/health"); err == nil {
 			res.Body.Close()
-			if res.StatusCode == 200 {
+			if res.StatusCode == 200 && r.steady() {
 				return nil
 			}
 		}
@@ -745,6 +751,16 @@
 	return fmt.Errorf("router n%d is not ready after 30 s; its last lines:\n%s", r.id+1, r.log.String())
 }
 
+// steady tells whether nothing is under way at the router's keeper, if it has one: it
+// hears only after the first client that its generation serves.
+func (r *process) steady() bool {
+	if !r.set.Fleet.Keep || r.earlier() {
+		return true
+	}
+	s, err := (&Kept{r.sockets}).Standing(r.id)
+	return err == nil && s.State == "steady"
+}
+
 // end kills the process and waits for it.
 func (r *process) end() {
 	if r.cmd == nil {
--- a/internal/world/clients.go
+++ b/internal/world/clients.go
@@ -58,8 +58,7 @@
 // arrive is one office's clients: the next comes by chance.
 func (w *World) arrive(office int) {
 	l := &w.set.Load
-	end := int64(w.set.LengthS * 1e6)
-	if w.now >= end {
+	if w.now >= w.end {
 		return
 	}
 	rate := l.TxnsPerS / float64(w.set.Fleet.Offices) * w.burst * l.Weight(office, w.set.Fleet.Offices)
@@ -87,7 +86,7 @@
 // watch asks for a video's next part, and for the one after it some time later.
 func (w *World) watch(v *view) {
 	w.begin(&client{office: v.office, rule: script.Video, object: v.object, part: v.part, view: v})
-	if v.part++; w.now < int64(w.set.LengthS*1e6) && v.part < w.cat.parts(v.object) && w.dice.Float64() > stopEach {
+	if v.part++; w.now < w.end && v.part < w.cat.parts(v.object) && w.dice.Float64() > stopEach {
 		w.after(int64(4e5+w.dice.Float64()*3.5e5), func() { w.watch(v) })
 	}
 }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -119,6 +119,7 @@
 
 // World is the state of a run.
 type World struct {
+	end    int64 // clients come until then
 	set    *script.Script
 	driver Driver
 	rules  []logic.RemapRule
@@ -198,7 +199,7 @@
 
 // New makes a world at time 0.
 func New(s *script.Script, seed uint64, d Driver) *World {
-	w := &World{set: s, driver: d, rules: s.Rules(), dice: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+	w := &World{set: s, end: int64(s.LengthS * 1e6), driver: d, rules: s.Rules(), dice: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		servers: map[string]*server{}, hops: map[hopKey]*Hop{}, purged: map[int64]int64{}, warmed: map[warmKey]bool{}, burst: 1, Result: newResult(s)}
 	f := &s.Fleet
 	w.wayDice = rand.New(rand.NewPCG(seed, 0x7761797773))
@@ -267,7 +268,7 @@
 
 // Length is when the run ends: clients stop at the script's length, and what is
 // open then has its time.
-func (w *World) Length() int64 { return int64(w.set.LengthS*1e6) + 8*second }
+func (w *World) Length() int64 { return w.end + 8*second }
 
 // After lets a driver set something of its own, such as what crosses between
 // sites, among the world's events.
@@ -277,7 +278,10 @@
 func (w *World) SitesCut() bool { return w.sitesCut }
 
 // Over tells whether clients have stopped and all requests have their outcomes.
-func (w *World) Over() bool { return w.live == 0 && w.now > int64(w.set.LengthS*1e6) }
+func (w *World) Over() bool { return w.live == 0 && w.now > w.end }
+
+// Close lets no more clients come; those that are there are still answered.
+func (w *World) Close() { w.end = min(w.end, w.now) }
 
 // Known is the list as it is, in order.
 func (w *World) Known() (list []Server) {
