--- a/cmd/quilldoor/members_test.go
+++ b/cmd/quilldoor/members_test.go
@@ -94,6 +94,7 @@
 `, 4000, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			r, err := rehearse(t, fleet+c.text, emulate.Options{})
 			if err != nil {
 				t.Fatal(err)
@@ -122,6 +123,7 @@
 // The same cut of the board breaks rules where routers know nobody: the test above
 // proves what it says.
 func TestBoardCutAlone(t *testing.T) {
+	t.Parallel()
 	r, err := rehearse(t, `
 settle_s: 1
 fleet: {offices: 3, routers: 2, trunks: 2, caches: 2, cores: 3, board_ms: 200, death_ms: 500, cold_s: 2}
--- a/internal/emulate/rollouts.go
+++ b/internal/emulate/rollouts.go
@@ -3,22 +3,35 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math"
 	"math/rand/v2"
 
+	"quilldoor/internal/core"
 	"quilldoor/internal/record"
 	"quilldoor/internal/rollout"
 	"quilldoor/internal/script"
 	"quilldoor/internal/verdict"
+	"quilldoor/internal/witness"
+	"quilldoor/internal/world"
+	"quilldoor/logic"
 )
 
 // Rolling is a rollout on the virtual clock: the routers' real decisions, with words
-// that take up to a tenth of a second, changes that take as long as a trial, and a new
-// program that differs in one way.
+// that take up to a tenth of a second, changes that take as long as a trial, a witness
+// beside each, and a new program that differs in one way.
 type Rolling struct {
-	Plan    *rollout.Plan
-	StartS  float64
-	TrialS  float64
-	Refuses float64 // share of txns that the new program refuses without need
+	Plan   *rollout.Plan
+	StartS float64
+	TrialS float64
+	// Of the new program: the share of txns that it refuses without need, of one remap
+	// rule where that is named, how much longer its hops take, and what of the board it
+	// does not hear.
+	Refuses                float64
+	Of                     string
+	OnlyAll                bool // it does so only once all routers have it
+	Slower                 float64
+	DeafDrains, DeafPurges bool
 	// Judge off: stages pass when their watch is over. AtOnce: all change at StartS, and
 	// nobody looks.
 	NoJudge, AtOnce bool
@@ -32,23 +45,31 @@
 	Why     string
 	EndedS  float64 // when all had ended in one generation; 0: they had not
 	TurnedS float64 // when it was turned back; 0: never
-	HarmedS float64 // when the first txn was refused by the new program
+	HarmedS float64 // when the first txn was refused, or answered more slowly, by the new program
 	Harmed  int     // txns
+	Accused int     // routers that were seen to break a rule
 	News    int     // routers with the new generation in the end
 }
 
 type rolling struct {
 	*virtual
-	set    *Rolling
-	out    Rolled
-	nodes  []*rollout.Node
-	local  []rollingRouter
-	mail   []rollingMail
-	dice   *rand.Rand
-	seed   uint64
-	open   map[string]int
-	begun  bool
-	ending bool
+	set   *Rolling
+	out   Rolled
+	nodes []*rollout.Node
+	local []rollingRouter
+	mail  []rollingMail
+	dice  *rand.Rand
+	seed  uint64
+	begun bool
+	eyes  []*eye
+}
+
+// eye is a router's witness, and what it has gathered.
+type eye struct {
+	judge   *witness.Judge
+	acts    *witness.Recorder
+	process uint64
+	accused bool
 }
 
 type rollingRouter struct {
@@ -68,7 +89,12 @@
 	if n := s.Fleet.Offices * s.Fleet.Routers; n != len(set.Plan.Routers) {
 		return nil, fmt.Errorf("%s: %d routers, the plan has %d", s.Name, n, len(set.Plan.Routers))
 	}
-	r := &rolling{set: &set, dice: rand.New(rand.NewPCG(seed, 41)), seed: seed, open: map[string]int{}, local: make([]rollingRouter, len(set.Plan.Routers))}
+	r := &rolling{set: &set, dice: rand.New(rand.NewPCG(seed, 41)), seed: seed, local: make([]rollingRouter, len(set.Plan.Routers))}
+	setup := s.Settings(0, 0)
+	figures := setup.Logic()
+	for range r.local {
+		r.eyes = append(r.eyes, &eye{judge: witness.New(witness.SettingsOf(&figures)), acts: witness.NewRecorder()})
+	}
 	rules := map[string]float64{}
 	sla := map[string]int64{}
 	for _, k := range s.Rules() {
@@ -77,23 +103,43 @@
 	type taken struct {
 		at   int64
 		rule string
+		hops int
+	}
+	held := map[string]*taken{}
+	harm := func() {
+		if r.out.Harmed++; r.out.HarmedS == 0 {
+			r.out.HarmedS = float64(r.world.Now()) / 1e6
+		}
 	}
-	held := map[string]taken{}
-	opt := Options{Seed: seed,
-		Refuse: func(router int) bool {
-			l := &r.local[router]
-			if serves := l.onNew && !(l.changing && !l.target); !serves || set.Refuses == 0 || r.dice.Float64() >= set.Refuses {
+	opt := Options{Seed: seed, looks: r,
+		Refuse: func(router int, rule string) bool {
+			if !r.news(router) || set.Refuses == 0 || set.OnlyAll && !r.all() || set.Of != "" && set.Of != rule || r.dice.Float64() >= set.Refuses {
 				return false
 			}
-			if r.out.Harmed++; r.out.HarmedS == 0 {
+			harm()
+			return true
+		},
+		Deaf: func(router int, n world.Notice) bool {
+			deaf := r.news(router) && (n.Purge && set.DeafPurges || !n.Purge && set.DeafDrains)
+			if deaf && r.out.HarmedS == 0 { // the referee counts what it breaks by that
 				r.out.HarmedS = float64(r.world.Now()) / 1e6
 			}
-			return true
+			return deaf
+		},
+		Lag: func(router int) float64 {
+			if !r.news(router) {
+				return 0
+			}
+			return set.Slower
 		},
 		Record: func(e *record.Entry) {
 			switch e.Kind {
 			case "taken":
-				held[e.Txn] = taken{e.At, e.Rule}
+				held[e.Txn] = &taken{at: e.At, rule: e.Rule}
+			case "sent":
+				if x := held[e.Txn]; x != nil {
+					x.hops++
+				}
 			case "final", "left":
 				x, ok := held[e.Txn]
 				if !ok {
@@ -103,14 +149,29 @@
 				c := &r.local[e.Router].counts
 				c.Txns++
 				c.Asked += rules[x.rule]
+				c.Hops += float64(x.hops)
+				earned := 0.0
+				if e.Outcome == "completed" {
+					c.Answered++
+					c.Time += math.Log(float64(max(e.At-x.at, 1000)) / float64(sla[x.rule]))
+					if set.Slower > 0 && r.news(e.Router) {
+						harm()
+					}
+				}
 				switch {
 				case e.Outcome == "completed" && e.At-x.at <= sla[x.rule]:
-					c.Earned += rules[x.rule]
+					earned = rules[x.rule]
 				case e.Outcome == "rejected":
 					c.Refused++
 				case e.Outcome != "completed":
 					c.Failed++
 				}
+				c.Earned += earned
+				if c.Rules == nil {
+					c.Rules = map[string]verdict.Worth{}
+				}
+				w := c.Rules[x.rule]
+				c.Rules[x.rule] = verdict.Worth{Txns: w.Txns + 1, Asked: w.Asked + rules[x.rule], Earned: w.Earned + earned}
 			}
 		},
 		Each: r.step,
@@ -125,10 +186,69 @@
 		if r.local[i].onNew {
 			r.out.News++
 		}
+		if r.eyes[i].accused {
+			r.out.Accused++
+		}
 	}
 	return &r.out, nil
 }
 
+// news tells whether a router's new program serves.
+func (r *rolling) news(router int) bool {
+	l := &r.local[router]
+	return l.onNew && !(l.changing && !l.target)
+}
+
+// all tells whether it serves everywhere.
+func (r *rolling) all() bool {
+	for i := range r.local {
+		if !r.news(i) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *rolling) listed(router int, now int64, whole bool, list []core.Server) {
+	entries := make([]logic.Entry, len(list))
+	for i, s := range list {
+		entries[i] = s.Entry
+	}
+	r.eyes[router].judge.Listed(now, whole, entries)
+}
+
+func (r *rolling) purged(router int, now int64, object string, group, made int64) {
+	r.eyes[router].judge.Purged(now, object, group, made)
+}
+
+func (r *rolling) sent(router int, rule string, h *core.Hop) {
+	r.eyes[router].acts.Hop(h.Sent(), h.Server.Server, h.Source, rule, h.Twice)
+}
+
+func (r *rolling) answered(router int, a *world.Ask, h *core.Hop, issued int64) {
+	k := r.world.RuleOf(a.Rule)
+	if k.Write {
+		return
+	}
+	flow := r.virtual.set.Fleet.FlowKBPerS / 1e6
+	r.eyes[router].acts.Answered(k.Name, a.Object, a.Group, h.Sent(), issued+epoch, a.SizeKB/flow)
+}
+
+// look lets a router's witness judge; each change is another process.
+func (r *rolling) look(now int64, i int) witness.Seen {
+	e, l := r.eyes[i], &r.local[i]
+	if of := l.run<<1 | uint64(map[bool]int{true: 1}[r.news(i)]); of != e.process {
+		e.judge.Ended(e.process)
+		e.process = of
+		e.acts.Take()
+	}
+	e.judge.Acts(now+epoch, e.process, e.acts.Take())
+	e.judge.Tick(now + epoch)
+	s := e.judge.Seen(e.process)
+	e.accused = e.accused || s.Rules != 0
+	return s
+}
+
 // step is called ten times a second.
 func (r *rolling) step(now int64) {
 	if r.set.AtOnce {
@@ -160,10 +280,14 @@
 			l.changing = false
 		}
 		c := l.counts
+		c.Rules = maps.Clone(c.Rules)
 		if r.set.NoJudge { // nothing is ever worse
 			c = verdict.Counts{Txns: float64(now) / 1e4, Asked: float64(now) / 1e4, Earned: float64(now) / 1e4}
 		}
-		n.Local(rollout.Report{OnNew: l.onNew && !l.changing, Changing: l.changing, Able: true, Counts: c, Run: l.run, MemoryMB: 20})
+		seen := r.look(now, i)
+		drains, purges := r.eyes[i].judge.Told()
+		n.Local(rollout.Report{OnNew: l.onNew && !l.changing, Changing: l.changing, Able: true, Counts: c, Run: l.run, MemoryMB: 20, Broken: seen.Rules, Broke: seen.Text,
+			Drains: drains, Purges: purges})
 		r.post(i, n.Tick(now+1))
 		if w := n.Want(now + 1); w.Go && !l.changing && w.New != l.onNew {
 			v, _ := n.View()
--- a/internal/emulate/sockets.go
+++ b/internal/emulate/sockets.go
@@ -49,6 +49,12 @@
 // module's 8.
 const slackOnSockets = 58_000
 
+// Runs side by side have networks of their own: an address that one has found free must
+// not be found by another before a router listens there.
+const firstNet, nets = 64, 128
+
+var played atomic.Int32
+
 // mostListeners bounds the descriptors: each router has an address of its own for
 // each server.
 const mostListeners = 3000
@@ -65,6 +71,7 @@
 	start   time.Time
 	in      chan func()
 	dir     string
+	net     string // first half of its routers' addresses
 	fail    chan error
 	cancel  context.CancelFunc
 	ctx     context.Context
@@ -133,7 +140,7 @@
 	}
 	defer os.RemoveAll(dir)
 	ctx, cancel := context.WithCancel(ctx)
-	v := &sockets{opt: opt, set: s, referee: referee.New(Figures(s, slackOnSockets)), in: make(chan func(), 4096), dir: dir,
+	v := &sockets{net: fmt.Sprintf("127.%d", firstNet+(os.Getpid()+int(played.Add(1)))%nets), opt: opt, set: s, referee: referee.New(Figures(s, slackOnSockets)), in: make(chan func(), 4096), dir: dir,
 		fail: make(chan error, 1), ctx: ctx, cancel: cancel, conf: conf,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200, IdleConnTimeout: 4 * time.Second, DisableCompression: true}}}
 	defer func() {
@@ -170,13 +177,11 @@
 		}
 	}
 	v.start = time.Now()
-	for _, r := range v.routers {
+	var addrs []string
+	for _, r := range v.routers { // one by one: a start takes CPU, and others may be judged meanwhile
 		if err := r.run(v.world.Known()); err != nil {
 			return nil, err
 		}
-	}
-	var addrs []string
-	for _, r := range v.routers {
 		if err := r.ready(); err != nil {
 			return nil, err
 		}
@@ -530,7 +535,7 @@
 func (r *process) prepare() error {
 	// An address of its own: ports of 127.0.0.1 that are free now may be taken by
 	// some connection before the process listens, or while it is dead.
-	own := fmt.Sprintf("127.77.%d.%d:0", 1+r.id/200, 1+r.id%200)
+	own := fmt.Sprintf("%s.%d.%d:0", r.net, 1+r.id/200, 1+r.id%200)
 	want := own
 	if r.conf.Listen != "" && r.id == 0 {
 		want = r.conf.Listen
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -28,13 +28,23 @@
 	Progress func(done float64, seconds []world.Second) // about once a simulated second
 
 	// Of wrong routers, for tests of the referee and of the model.
-	Settings func(*settings.Setup)       // changes what routers are handed
-	Deaf     func(world.Notice) bool     // notices that they don't hear
-	Answer   func(txn string, n int) int // how often they give an answer; nil: once
-	Refuse   func(router int) bool       // txns that it refuses as they come; nil: none
+	Settings func(*settings.Setup)                 // changes what routers are handed
+	Deaf     func(router int, n world.Notice) bool // notices that it doesn't hear
+	Answer   func(txn string, n int) int           // how often they give an answer; nil: once
+	Refuse   func(router int, rule string) bool    // txns that it refuses as they come; nil: none
+	Lag      func(router int) float64              // how much longer its hops take, as a share; nil: no longer
 
 	Each  func(now int64) // ten times a second; on the virtual clock
 	ready func(*virtual)
+	looks onlooker // nil: nobody looks on
+}
+
+// onlooker hears what a keeper would beside a router. Times are the routers'.
+type onlooker interface {
+	listed(router int, now int64, whole bool, list []core.Server)
+	purged(router int, now int64, object string, group, made int64)
+	sent(router int, rule string, h *core.Hop)
+	answered(router int, a *world.Ask, h *core.Hop, issued int64)
 }
 
 // Result is what came of a run.
@@ -222,6 +232,9 @@
 	})
 	r.core = self
 	v.join(r)
+	if v.opt.looks != nil {
+		v.opt.looks.listed(r.id, v.now(), true, servers(known))
+	}
 	if v.set.Fleet.Members {
 		r.book = news.New(news.Settings{Keep: int64(v.set.Fleet.ClearedMS*1000) + longest})
 		r.core.Peers(v.now(), v.now()+set.Contract.FallFor)
@@ -292,6 +305,9 @@
 		case core.Drop:
 			v.world.Cancel(t.router.id, t.ask.Txn, o.Hop.N)
 		case core.Completed:
+			if v.opt.looks != nil && o.Hop != nil && !t.over {
+				v.opt.looks.answered(t.router.id, t.ask, o.Hop, o.Reply.(reply).issued)
+			}
 			v.ended(t, "completed", o.Reply.(reply).issued, o)
 		case core.Rejected:
 			v.ended(t, "rejected", 0, o)
@@ -306,6 +322,9 @@
 		return
 	}
 	a := t.ask
+	if v.opt.looks != nil {
+		v.opt.looks.sent(t.router.id, v.world.RuleOf(a.Rule).Name, h)
+	}
 	x := &world.Hop{Router: t.router.id, Txn: a.Txn, N: h.N, Server: h.Server.Server, Source: h.Source, Rank: h.Rank,
 		Mode: h.Mode, Within: h.Age, Rule: a.Rule, Object: a.Object, Part: a.Part, Group: a.Group, SizeKB: a.SizeKB,
 		Write: a.Write, Tag: h}
@@ -372,7 +391,7 @@
 	if r.wokeAt > 0 && v.now()-r.wokeAt < standstill.After {
 		left -= v.now() - r.stoppedAt
 	}
-	if left <= 0 || v.opt.Refuse != nil && v.opt.Refuse(r.id) {
+	if left <= 0 || v.opt.Refuse != nil && v.opt.Refuse(r.id, v.world.RuleOf(a.Rule).Name) {
 		v.world.Final(r.id, a.Txn, "rejected", 0, 0)
 		return
 	}
@@ -422,9 +441,21 @@
 	if e.Code == "done" {
 		o.Reply = reply{e.Issued}
 	}
-	if r.core != nil {
-		r.core.Ended(v.now(), h.Tag.(*core.Hop), o)
+	if r.core == nil {
+		return
 	}
+	c, hop := r.core, h.Tag.(*core.Hop)
+	if v.opt.Lag != nil {
+		if by := int64(v.opt.Lag(router) * float64(v.now()-hop.Sent())); by > 0 {
+			v.world.After(by, func() {
+				if r.core == c {
+					c.Ended(v.now(), hop, o)
+				}
+			})
+			return
+		}
+	}
+	c.Ended(v.now(), hop, o)
 }
 
 // Told tells a router of servers, or of a purge.
@@ -434,7 +465,14 @@
 
 func (v *virtual) told(router int, n world.Notice) {
 	r := v.routers[router]
-	if v.opt.Deaf != nil && v.opt.Deaf(n) {
+	if v.opt.looks != nil {
+		if n.Purge {
+			v.opt.looks.purged(router, v.now(), n.Object, n.Group, n.At+epoch)
+		} else {
+			v.opt.looks.listed(router, v.now(), false, servers(n.Servers))
+		}
+	}
+	if v.opt.Deaf != nil && v.opt.Deaf(router, n) {
 		return
 	}
 	if n.Purge {
--- a/internal/rollout/lead.go
+++ b/internal/rollout/lead.go
@@ -28,6 +28,8 @@
 	reports []heard
 	watch   int64 // since when all of the stage have changed; 0: they have not
 	judge   *verdict.Judge
+	fleet   []float64 // loss of worth of all routers together, by moments of this watch
+	before  []float64 // of the one before; none: another led then
 	moment  int64
 	say     verdict.Word
 	why     string
@@ -274,7 +276,7 @@
 	}
 	if l.watch == 0 {
 		l.watch, l.judge, l.moment = n.now, verdict.New(n.plan.Verdict(), len(n.plan.Stages)), n.now
-		l.say, l.why = verdict.CantTell, ""
+		l.say, l.why, l.fleet = verdict.CantTell, "", nil
 		for i := range l.reports {
 			l.reports[i].drains, l.reports[i].purges = l.reports[i].r.Drains, l.reports[i].r.Purges
 		}
@@ -291,6 +293,8 @@
 	case n.now-l.watch < int64(stage.LeastS*1e6):
 	case l.say == verdict.Good && untried == "":
 		return good, l.why
+	case over && last && untried == "" && l.fell(n) != "":
+		return unsure, l.fell(n)
 	case over && last && untried == "":
 		return good, "nobody is left to compare with, no guard has struck"
 	case over && untried != "":
@@ -301,6 +305,15 @@
 	return nothing, ""
 }
 
+// fell tells whether all routers together lose more since all have changed: a defect may
+// show only then. That it began with the change proves nothing, so nobody turns back.
+func (l *lead) fell(n *Node) string {
+	if by, fell := verdict.Fell(n.plan.Verdict(), len(n.plan.Stages), l.before, l.fleet); fell {
+		return fmt.Sprintf("can't tell: all are new, and lose at least %.4f more than while some were old", by)
+	}
+	return ""
+}
+
 // untried tells what the stage wants its routers to have been told of, and one was not.
 func (l *lead) untried(n *Node, s *State, stage *Stage) string {
 	for i := range l.reports {
@@ -417,6 +430,7 @@
 
 // pass goes on to the next stage, or ends.
 func (l *lead) pass(n *Node, s *State) {
+	l.before = l.fleet
 	if s.Stage+1 >= len(n.plan.Stages) {
 		s.Way = Done
 		return
@@ -459,6 +473,7 @@
 		return
 	}
 	l.moment = n.now
+	var all verdict.Counts
 	for i := range l.reports {
 		h := &l.reports[i]
 		if n.now-h.at > 2*second || h.r.Changing || n.now-h.since < l.judge.Skip() {
@@ -468,9 +483,15 @@
 		c := h.r.Counts.Minus(h.counts)
 		if h.counted > 0 && c.Txns >= 0 {
 			l.judge.Add(n.plan.Routers[i].Office, h.r.OnNew, c)
+			all.Txns, all.Asked, all.Earned = all.Txns+c.Txns, all.Asked+c.Asked, all.Earned+c.Earned
 		}
 		h.counts, h.counted = h.r.Counts, n.now
 	}
+	set := n.plan.Verdict()
+	const mostFleet = 20_000
+	if loss, enough := set.LossOf(all); enough && len(l.fleet) < mostFleet {
+		l.fleet = append(l.fleet, loss)
+	}
 	l.judge.Moment()
 	l.say, l.why = l.judge.Say()
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -338,6 +338,27 @@
 	return CantTell, fmt.Sprintf("%v: %+.4f, from %+.4f to %+.4f (%d moments)", Loss, b.Mean, b.Low, b.High, b.Moments)
 }
 
+// Fell tells whether a whole fleet loses more worth than it did before: where nobody is
+// left to compare with, this is all that can be asked. By how much at the least, by the
+// bounds of both means. It can't tell a change from trouble that began with it.
+func Fell(set Settings, stages int, before, after []float64) (by float64, fell bool) {
+	if len(before) < leastMoments || len(after) < leastMoments {
+		return 0, false
+	}
+	chance := New(set, stages).chance[Loss]
+	low := func(d []float64) (mean, half float64) { return stat.Mean(d, nil), spread(d) * Width(len(d), chance/2) }
+	b, bh := low(before)
+	a, ah := low(after)
+	by = a - ah - b - bh
+	return by, by > set.Most
+}
+
+// LossOf is the share of importance that was not earned; false: too few txns.
+func (s *Settings) LossOf(c Counts) (float64, bool) {
+	loss, _ := Loss.of(c)
+	return loss, c.Txns >= s.Least
+}
+
 // Needed is how many moments tell a loss apart, for a spread of moments: it is found
 // where it is there (stop), and the loss that matters is ruled out where there is none
 // (pass). 0: not within most of them.
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -1,8 +1,10 @@
 package verdict
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 )
 
@@ -101,3 +103,62 @@
 		t.Error(stop, pass)
 	}
 }
+
+// Slowness, hops and single rules are told apart, what one arm does not tell is not
+// compared, and a fleet that loses more than before is seen to.
+func TestOtherFigures(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Counts)
+		says   string
+	}{
+		{"the same", func(*Counts) {}, ""},
+		{"a fifth slower", func(c *Counts) { c.Time += 0.18 * c.Answered }, "slowness"},
+		{"a hop more for one in five", func(c *Counts) { c.Hops += 0.2 * c.Txns }, "hops a txn"},
+		{"a rule that fails", func(c *Counts) { c.Rules["accept"] = Worth{Txns: 30, Asked: 30, Earned: 24} }, "loss of worth of accept"},
+		{"an earlier text", func(c *Counts) { c.Answered, c.Time, c.Hops, c.Rules = 0, 0, 0, nil }, ""},
+	} {
+		dice := rand.New(rand.NewPCG(3, 3))
+		j := New(Default(), 3)
+		for range 120 {
+			for arm := range 2 {
+				k := Counts{Txns: 60, Asked: 60, Earned: 59, Answered: 60, Hops: 66, Rules: map[string]Worth{"accept": {Txns: 30, Asked: 30, Earned: 29}}}
+				for range 60 {
+					k.Time += dice.NormFloat64() * 0.5
+				}
+				if arm == 1 {
+					c.change(&k)
+				}
+				j.Add("o", arm == 1, k)
+			}
+			j.Moment()
+		}
+		w, why := j.Say()
+		if (w == Worse) != (c.says != "") || !strings.HasPrefix(why, c.says) {
+			t.Errorf("%s: %v, %s", c.name, w, why)
+		}
+	}
+	before, after := make([]float64, 40), make([]float64, 40)
+	for i := range before {
+		before[i], after[i] = 0.01*float64(i%3), 0.01*float64(i%3)
+	}
+	if by, fell := Fell(Default(), 3, before, after); fell {
+		t.Error(by)
+	}
+	for i := range after {
+		after[i] += 0.2
+	}
+	if by, fell := Fell(Default(), 3, before, after); !fell || by < 0.1 || by > 0.2 {
+		t.Error(by, fell)
+	}
+	if _, fell := Fell(Default(), 3, nil, after); fell {
+		t.Error("it fell from nothing")
+	}
+	c := Counts{Rules: map[string]Worth{}}
+	for i := range 3 * MostRules {
+		c = c.Plus(Counts{Rules: map[string]Worth{fmt.Sprint("r", i): {Txns: 1}}})
+	}
+	if len(c.Rules) > MostRules {
+		t.Error(len(c.Rules))
+	}
+}
