--- a/cmd/quilldoor-lab/main.go
+++ b/cmd/quilldoor-lab/main.go
@@ -21,7 +21,7 @@
 	defer stop()
 	root := &cobra.Command{Use: "quilldoor-lab", Short: "Experiments with the router's decisions", SilenceUsage: true,
 		SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
-	root.AddCommand(emulateCommand(), scriptsCommand(), explainCommand(), demoCommand(), membersCommand(), processesCommand(), pairsCommand(), changesCommand(), rolloutsCommand(), rolloutCostCommand(), reportCommand(), diskTrial())
+	root.AddCommand(emulateCommand(), scriptsCommand(), explainCommand(), demoCommand(), membersCommand(), processesCommand(), pairsCommand(), changesCommand(), rolloutsCommand(), rolloutCostCommand(), huntCommand(), reportCommand(), diskTrial())
 	err := root.ExecuteContext(ctx)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "quilldoor-lab:", err)
--- /dev/null
+++ b/internal/hunt/hunt_test.go
@@ -0,0 +1,75 @@
+package hunt
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	"quilldoor/internal/script"
+)
+
+// A day that is drawn is a script that can be written down and read again, and the same
+// seed draws the same.
+func TestDraw(t *testing.T) {
+	kinds := map[string]int{}
+	for seed := range uint64(500) {
+		draw := func() *script.Script { return Draw(rand.New(rand.NewPCG(seed, 1)), Default()) }
+		s := draw()
+		if !reflect.DeepEqual(s, draw()) {
+			t.Fatalf("seed %d draws another day", seed)
+		}
+		text, err := Text(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := script.Parse("", text)
+		if err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, text)
+		}
+		if r.Name = s.Name; !reflect.DeepEqual(r, s) {
+			t.Fatalf("seed %d: %+v\nis read as %+v\n%s", seed, s, r, text)
+		}
+		for _, x := range s.Troubles {
+			kinds[x.Kind]++
+		}
+	}
+	for _, k := range script.Names() {
+		if kinds[k] == 0 {
+			t.Errorf("%s is never drawn", k)
+		}
+	}
+}
+
+// What matters stays, all else goes; the plays are bounded.
+func TestShrink(t *testing.T) {
+	needs := func(s *script.Script) bool {
+		has := func(kind string, long float64) bool {
+			return slices.ContainsFunc(s.Troubles, func(t script.Trouble) bool { return t.Kind == kind && t.For >= long })
+		}
+		return has("purge", 0) && has("die", 1) && s.Fleet.Caches >= 2 && s.Load.TxnsPerS >= 30
+	}
+	for seed := range uint64(50) {
+		dice := rand.New(rand.NewPCG(seed, 2))
+		s := Draw(dice, Default())
+		for _, k := range []string{"purge", "die", "deploy", "burst"} {
+			s.Troubles = append(s.Troubles, trouble(dice, s, k))
+		}
+		for i := range s.Troubles {
+			s.Troubles[i].For = max(s.Troubles[i].For, 1)
+		}
+		s.Load.TxnsPerS = 200
+		was := Copy(s)
+		c, plays := Shrink(s, needs, 2000)
+		if !reflect.DeepEqual(s, was) {
+			t.Fatal("it has changed what it was given")
+		}
+		if !needs(c) || len(c.Troubles) != 2 || c.Fleet.Caches != 2 || c.Load.TxnsPerS > 60 || c.Fleet.Offices != 1 || c.Fleet.Members {
+			text, _ := Text(c)
+			t.Fatalf("seed %d, %d plays:\n%s", seed, plays, text)
+		}
+		if _, plays := Shrink(s, needs, 7); plays > 7 {
+			t.Errorf("%d plays of 7", plays)
+		}
+	}
+}
