Let a peer's txn end before it is given up at home: budget less margin, four beats

Causes: it was told the client's whole time, while home gives up 72 ms before that and the way takes some more; and cut off, it worked on for six beats of silence where home answers after five. The budget is now what home itself waits, less half a round trip, and four beats end a peer's txns. On the virtual clock such txns were not given up at all; now they are.

--- a/internal/crossing/crossing.go
+++ b/internal/crossing/crossing.go
@@ -67,6 +67,10 @@
 
 const lateBeats, silentBeats = 2, 5
 
+// Patience is how many beats of silence a peer's txns are worked on for: one less than
+// it takes the peer itself, cut off at the same moment, to answer them at home.
+const Patience = silentBeats - 1
+
 // Peer is a router of another site as this one sees it.
 type Peer struct {
 	Name, Site  string
@@ -494,6 +498,16 @@
 // way to its client: a txn is given up so long before its time is over.
 func (g *Gate) margin() int64 { return g.set.Beat/4 + 10*ms }
 
+// Budget is what a txn that is handed over now has over there: here it is given up when
+// its deadline comes, and an answer takes half a round trip.
+func (g *Gate) Budget(now int64, id string) int64 {
+	c := g.out[id]
+	if c == nil {
+		return 0
+	}
+	return max(c.deadline-now-quantile(c.peer.trips, 0.5, 0)/2, 0)
+}
+
 // Written takes that the txn's request goes onto the connection: from now on it
 // may have come whole. False: it has ended, or was written already, and must not
 // be written.
--- a/internal/emulate/sites.go
+++ b/internal/emulate/sites.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 
 	"quilldoor/internal/core"
 	"quilldoor/internal/crossing"
@@ -36,7 +38,7 @@
 			peers[nameOf(i)] = fmt.Sprint(s)
 		}
 	}
-	r.from = map[string]*vtxn{}
+	r.from, r.beats = map[string]*vtxn{}, map[*vrouter]int64{}
 	r.gate = crossing.New(crossing.Settings{Name: nameOf(r.id), Site: fmt.Sprint(site), Most: mostAcross, Reserve: siteRatio,
 		Beat: beatEvery}, peers)
 	self := r.core
@@ -49,6 +51,7 @@
 		now := v.now()
 		r.gate.Tick(now)
 		v.crossed(r)
+		v.silent(r, now)
 		v.world.After(beatEvery/4, beat)
 		if n++; n%4 != 0 {
 			return
@@ -63,6 +66,7 @@
 					p.gate.Up(v.now(), nameOf(r.id), r.starts)
 				}
 				p.gate.Beat(v.now(), nameOf(r.id), offer, false, int64(2*v.set.Fleet.SiteMS*1000))
+				p.beats[r] = v.now()
 				v.crossed(p)
 			})
 		}
@@ -70,6 +74,29 @@
 	v.world.After(int64(r.id%8)*beatEvery/8, beat)
 }
 
+// silent gives up what came from a peer that has said nothing for long, as the end of
+// its connection does.
+func (v *virtual) silent(r *vrouter, now int64) {
+	var gone []*vtxn
+	for _, x := range r.open {
+		if x.home != nil && now-r.beats[x.home] > crossing.Patience*beatEvery {
+			gone = append(gone, x)
+		}
+	}
+	slices.SortFunc(gone, func(a, b *vtxn) int { return strings.Compare(a.ask.Txn, b.ask.Txn) })
+	for _, x := range gone {
+		v.giveUp(r, x)
+	}
+}
+
+// giveUp ends a txn that another site's router has given up.
+func (v *virtual) giveUp(r *vrouter, x *vtxn) {
+	x.over = true
+	x.core.Leave(v.now(), x.txn)
+	v.detach(x)
+	r.gate.Served(v.now(), nameOf(x.home.id), x.ask.Txn, false)
+}
+
 // over takes something to the other site, unless the way is cut when it begins or
 // ends.
 func (v *virtual) over(do func()) {
@@ -130,7 +157,8 @@
 			far = x
 		}
 	}
-	v.over(func() { v.arrive(far, t, left-int64(v.set.Fleet.SiteMS*1000)) })
+	budget := r.gate.Budget(now, a.Txn) // counted there from when it comes
+	v.over(func() { v.arrive(far, t, budget) })
 	return true
 }
 
@@ -241,10 +269,7 @@
 				}
 				v.over(func() {
 					if x := p.open[a.Txn]; x != nil && x.home == r && p.gate != nil {
-						x.over = true
-						x.core.Leave(v.now(), x.txn)
-						v.detach(x)
-						p.gate.Served(v.now(), nameOf(r.id), a.Txn, false)
+						v.giveUp(p, x)
 					}
 				})
 			}
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -107,8 +107,9 @@
 	place  int
 	kick   bool
 	open   map[string]*vtxn
-	gate   *crossing.Gate   // nil: its site is alone
-	from   map[string]*vtxn // txns that it has handed over
+	gate   *crossing.Gate     // nil: its site is alone
+	from   map[string]*vtxn   // txns that it has handed over
+	beats  map[*vrouter]int64 // when peers were heard
 
 	book *news.Book // nil: routers don't know each other
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,7 +238,7 @@
 		c.least = max(c.least, (u.At+999)/1000)
 	}
 	g.calls[id], k.calls[c.number] = c, id
-	ask := frames.Ask{At: now, Budget: q.Event.Remaining, Txn: id, Rule: q.Event.Rule, Object: q.Event.Object, Part: q.Event.Part,
+	ask := frames.Ask{At: now, Budget: g.gate.Budget(now, id), Txn: id, Rule: q.Event.Rule, Object: q.Event.Object, Part: q.Event.Part,
 		Group: q.Event.Group, Tag: q.Tag, Repeat: q.Event.Repeat, Write: q.Event.Write, Body: int32(q.Body.Len()),
 		Route: []string{g.config.Settings.Name}, Purges: purges}
 	b, err := frames.Append(nil, frames.KindAsk, c.number, &ask)
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -341,7 +341,7 @@
 func (k *link) readAsks() error {
 	g := k.g
 	// A peer that says nothing for long is gone, and its txns with it.
-	patience := time.Duration(g.config.Settings.Beat) * time.Microsecond * 6
+	patience := time.Duration(g.config.Settings.Beat) * time.Microsecond * crossing.Patience
 	for {
 		k.sock.SetReadDeadline(time.Now().Add(patience))
 		f, err := k.in.Next()
