--- a/logic/budget_test.go
+++ b/logic/budget_test.go
@@ -72,7 +72,7 @@
 		sent := false
 		for _, a := range r.Handle(c.now, Event{Kind: EvTxn, Txn: fmt.Sprint(c.txns), Rule: "read", Object: fmt.Sprint(c.txns), Remaining: 5 * sec}, nil) {
 			if a.Kind == ActGet && a.Server == "cold" {
-				c.spent = append(c.spent, spend{c.now, budgetWork})
+				c.spent = append(c.spent, spend{at: c.now, work: budgetWork})
 				sent = true
 			}
 		}
--- a/logic/learned.go
+++ b/logic/learned.go
@@ -33,8 +33,9 @@
 	Health  uint8          `cbor:"3,keyasint"`
 	Due     int64          `cbor:"4,keyasint,omitempty"`
 	Rests   int64          `cbor:"5,keyasint,omitempty"`
-	SpentAt []int64        `cbor:"6,keyasint,omitempty"` // when work was sent to it while cold ...
-	Spent   []int64        `cbor:"7,keyasint,omitempty"` // ... and how much
+	SpentAt []int64        `cbor:"6,keyasint,omitempty"`  // when work was sent to it while cold ...
+	Spent   []int64        `cbor:"7,keyasint,omitempty"`  // ... how much ...
+	Vary    []float64      `cbor:"12,keyasint,omitempty"` // ... and the variance of that
 	Link    float64        `cbor:"8,keyasint,omitempty"`
 	Late    []LearnedEnd   `cbor:"9,keyasint,omitempty"`
 	Kept    []uint64       `cbor:"10,keyasint,omitempty"`
@@ -102,7 +103,7 @@
 		x := LearnedServer{ID: s.id, Born: s.born, Health: uint8(s.health), Due: s.due, Rests: s.rests, Link: s.link, Late: ends(s.late),
 			Kept: slices.Clone(s.kept)}
 		for _, p := range s.spent {
-			x.SpentAt, x.Spent = append(x.SpentAt, p.at), append(x.Spent, p.work)
+			x.SpentAt, x.Spent, x.Vary = append(x.SpentAt, p.at), append(x.Spent, p.work), append(x.Vary, p.vary)
 		}
 		for i := range s.own {
 			x.Own[i] = s.own[i].learned()
@@ -154,7 +155,11 @@
 		s.due, s.rests, s.link, s.late = x.Due, min(max(x.Rests, 0), 8), x.Link, unends(x.Late)
 		s.kept = slices.Clone(x.Kept[max(len(x.Kept)-r.listCap, 0):])
 		for i := range min(len(x.Spent), len(x.SpentAt), mostEnds) {
-			s.spent = append(s.spent, spend{x.SpentAt[i], x.Spent[i]})
+			p := spend{at: x.SpentAt[i], work: x.Spent[i]}
+			if i < len(x.Vary) { // a text of before tells none
+				p.vary = x.Vary[i]
+			}
+			s.spent = append(s.spent, p)
 		}
 		for i := range s.own {
 			s.own[i].take(x.Own[i])
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -182,7 +182,11 @@
 	}
 }
 
-type spend struct{ at, work int64 } // work sent to a server, by its rule's mean sending time
+// spend is work sent to a server, by its rule's mean sending time where sizes are not told.
+type spend struct {
+	at, work int64
+	vary     float64
+}
 
 type server struct {
 	id           string
@@ -256,6 +260,14 @@
 	return sum / int64(len(list))
 }
 
+func variance(list []int64) float64 {
+	m, sum := float64(mean(list, 0)), 0.0
+	for _, v := range list {
+		sum += (float64(v) - m) * (float64(v) - m)
+	}
+	return sum / float64(max(len(list), 1))
+}
+
 // supplied notes whether a fill that named a source came in time. A parent is late when half of its last
 // fills were and twice the share of the best other source: a slow origin makes all sources late alike. Where
 // probes are allowed each late fill asks for the parent. It harms where one parent alone has the objects that
@@ -276,35 +288,38 @@
 	}
 }
 
-// coldShare is the part of the fall-over budget in use: the rest covers who learns late, and large sizes.
-const coldShare = 0.75
+// coldShare is the part of the fall-over budget in use: the rest covers who learns late. Where sizes are not
+// told, coldMargin deviations of the sum stay free as well: few hops may all be large.
+const coldShare, coldMargin = 0.75, 3
 
 func (r *Router) warm(s *server) bool { return s.born == 0 || r.now-s.born >= r.cold[s.role].lasts }
 
-// affords tells whether a server can be sent work more: any once warm, else this router's share in a window.
-func (r *Router) affords(s *server, work int64) bool {
+// affords tells whether a server can be sent the txn: any once warm, else this router's share in a window.
+func (r *Router) affords(s *server, t *txn) bool {
 	if r.warm(s) {
 		return true
 	}
 	if r.now < r.holdTill {
 		return false
 	}
-	c, age, sum := r.cold[s.role], r.now-s.born, work
+	c, age, sum, vary := r.cold[s.role], r.now-s.born, float64(t.cost), t.vary
 	s.spent = slices.DeleteFunc(s.spent, func(p spend) bool { return p.at <= r.now-r.fallFor })
 	for _, p := range s.spent {
-		sum += p.work
+		sum, vary = sum+float64(p.work), vary+p.vary
 	}
 	able := c.from + (1-c.from)*float64(max(age, 0))/float64(c.lasts)
-	return float64(sum) <= coldShare*c.multiple*able*s.weight*float64(r.fallFor)/c.routers
+	most := c.multiple * able * s.weight * float64(r.fallFor)
+	all := sum * c.routers // if every router sends as much
+	return all <= coldShare*most && all+coldMargin*math.Sqrt(vary*c.routers) <= most
 }
 
-func (r *Router) charge(s *server, work int64) {
+func (r *Router) charge(s *server, t *txn) {
 	if r.warm(s) { // nobody asks; at a thousand txns a second the list was a tenth of the module's time
 		s.spent = nil
 		return
 	}
 	s.spent = slices.DeleteFunc(s.spent, func(p spend) bool { return p.at <= r.now-r.fallFor })
-	s.spent = append(s.spent, spend{r.now, work})
+	s.spent = append(s.spent, spend{r.now, t.cost, t.vary})
 }
 
 // sla is the time within which the txn's answer earns all. Where sizes are not told, half the rule's SLA
@@ -485,6 +500,8 @@
 	object   string
 	group    int64
 	work     int64 // sending time, where the size is told
+	cost     int64 // what its next hop is charged with, and the variance of that
+	vary     float64
 	value    float64
 	deadline int64
 	looked   int // the last of looks and loans it has had
@@ -740,9 +757,9 @@
 }
 
 // usable tells whether a server may be sent this txn now or supply it.
-func (r *Router) usable(s *server, work int64) bool {
+func (r *Router) usable(s *server, t *txn) bool {
 	tried := s.health == trial && (s.out > 0 || r.canProbe)
-	return s.listed && s.health != down && !tried && r.affords(s, work)
+	return s.listed && s.health != down && !tried && r.affords(s, t)
 }
 
 // idle tells whether a cache has room for txns of a jammed one. In a jam of all it must not scatter copies.
@@ -752,12 +769,12 @@
 }
 
 // pick is rendezvous hashing, weighted by size: the best usable server, those that failed this txn last.
-func (r *Router) pick(t *txn, role role, work int64, fit func(*server) bool) *server {
+func (r *Router) pick(t *txn, role role, fit func(*server) bool) *server {
 	var best *server
 	var top float64
 	failed := true
 	for _, s := range r.order {
-		if s.role != role || role == edge && !r.may(t, s) || !r.usable(s, work) || fit != nil && !fit(s) {
+		if s.role != role || role == edge && !r.may(t, s) || !r.usable(s, t) || fit != nil && !fit(s) {
 			continue
 		}
 		f := slices.Contains(t.tried, s)
@@ -769,8 +786,8 @@
 	return best
 }
 
-func (r *Router) source(t *txn, work int64) *server {
-	if p := r.pick(t, parent, work, nil); p != nil && !slices.Contains(t.tried, p) {
+func (r *Router) source(t *txn) *server {
+	if p := r.pick(t, parent, nil); p != nil && !slices.Contains(t.tried, p) {
 		return p
 	}
 	return r.origin
@@ -797,17 +814,19 @@
 func (r *Router) hop(t *txn) {
 	t.due = 0
 	left := t.deadline - r.now
-	work := mean(t.rule.works, t.rule.sla)
+	if t.cost, t.vary = t.work, 0; t.work == 0 {
+		t.cost, t.vary = mean(t.rule.works, t.rule.sla), variance(t.rule.works)
+	}
 	var to, from *server
 	if t.rule.write && r.direct {
 		to, from = r.origin, r.origin
-	} else if to = r.pick(t, edge, work, nil); to != nil {
-		from = r.source(t, work)
+	} else if to = r.pick(t, edge, nil); to != nil {
+		from = r.source(t)
 		if t.rule.write {
 			from = r.origin
 		}
 	} else if r.direct {
-		to, from = r.source(t, work), r.origin
+		to, from = r.source(t), r.origin
 	}
 	// A second place may have what the first lacks; more tries only feed a jam.
 	const mostReads = 4 // one of them a look, one a loan
@@ -824,7 +843,7 @@
 	const slack = 0.5 // a fuller link in makes fills late itself
 	rank, mode, kind, grace := 0, 0, fills, int64(0)
 	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
-		if next := r.pick(t, edge, work, r.idle); next != nil {
+		if next := r.pick(t, edge, r.idle); next != nil {
 			to = next
 		} else if t.looked++; t.looked == looks && !r.jammed(t, &to.room[looks]) {
 			kind, from, grace = looks, to, t.rule.grace
@@ -852,9 +871,9 @@
 	if to.out++; to.out == 1 {
 		to.waiting = r.now
 	}
-	r.charge(to, work)
+	r.charge(to, t)
 	if from != to {
-		r.charge(from, work)
+		r.charge(from, t)
 	}
 	cap := left
 	if to.role == edge { // at twice its SLA time it earns little, holds a place, and may never be answered
@@ -894,7 +913,7 @@
 	case t.rule.effect != repeatable:
 	case !r.pair && r.cancel:
 		r.do(Action{Kind: ActCancel, Txn: t.id, Hop: len(t.hops) - 1})
-	case r.pair && len(t.hops) < r.maxHops && r.pick(t, edge, mean(t.rule.works, t.rule.sla), nil) != nil:
+	case r.pair && len(t.hops) < r.maxHops && r.pick(t, edge, nil) != nil:
 		r.hop(t)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -159,11 +159,11 @@
 		sent := int64(0)
 		for i := range 400 {
 			now := begin + int64(i)*ms
-			if !r.affords(s, 50*ms) {
+			if !r.affords(s, &txn{cost: 50 * ms}) {
 				break
 			}
 			r.now = now
-			r.charge(s, 50*ms)
+			r.charge(s, &txn{cost: 50 * ms})
 			sent += 50 * ms
 		}
 		if most := c.multiple * s.weight * (c.from + 0.1) * float64(sec) / c.routers; sent == 0 || float64(sent) > most {
@@ -214,11 +214,11 @@
 		t.Fatal("two hops that end together rest a server")
 	}
 	r.now += 100 * ms
-	if r.judge(s, signBad); s.health != down || r.usable(s, 1) {
+	if r.judge(s, signBad); s.health != down || r.usable(s, &txn{cost: 1}) {
 		t.Fatal("two bad signs do not rest a server")
 	}
 	r.now = s.due
-	if r.judge(s, signDue); s.health != trial || !r.usable(s, 1) {
+	if r.judge(s, signDue); s.health != trial || !r.usable(s, &txn{cost: 1}) {
 		t.Fatal("no trial after the rest")
 	}
 	if r.judge(s, signGood); s.health != up {
@@ -359,7 +359,7 @@
 	r.servers[cacheA].size = 3 * r.servers[cacheB].size
 	got := 0
 	for i := range 1000 {
-		if r.pick(&txn{state: clean, key: hash(fmt.Sprint(i))}, edge, 1, nil) == r.servers[cacheA] {
+		if r.pick(&txn{state: clean, key: hash(fmt.Sprint(i))}, edge, nil) == r.servers[cacheA] {
 			got++
 		}
 	}
