--- a/cmd/quilldoor-lab/hunt.go
+++ b/cmd/quilldoor-lab/hunt.go
@@ -66,7 +66,11 @@
 		}
 		w.Flush()
 		slices.SortFunc(list, func(a, b *hunt.Found) int { return int(1e6 * (a.Worth - b.Worth)) })
-		fmt.Printf("worth: least %.3f (day %d), a twentieth under %.3f, half under %.3f\n", list[0].Worth, list[0].N, list[days/20].Worth, list[days/2].Worth)
+		sum := 0.0
+		for _, d := range list {
+			sum += d.Worth
+		}
+		fmt.Printf("worth: mean %.4f, least %.3f (day %d), a twentieth under %.3f, half under %.3f\n", sum/float64(days), list[0].Worth, list[0].N, list[days/20].Worth, list[days/2].Worth)
 		var cut []*hunt.Found
 		for _, what := range sortedKeys(kinds) {
 			cut = append(cut, kinds[what][:min(shrink, len(kinds[what]))]...)
--- a/internal/referee/referee.go
+++ b/internal/referee/referee.go
@@ -51,6 +51,7 @@
 	listed  map[string]listing       // by server
 	told    map[int]map[string]state // by router
 	purges  map[int][]purge          // by router
+	lost    map[id]*txn              // of routers that have died: what they have handed over may still come
 	done    []ended                  // txns to forget
 
 	Breaks []Break // the first hundred
@@ -141,7 +142,7 @@
 // New makes a referee.
 func New(f Figures) *Referee {
 	r := &Referee{figures: f, rules: map[string]logic.RemapRule{}, txns: map[id]*txn{}, listed: map[string]listing{},
-		told: map[int]map[string]state{}, purges: map[int][]purge{}, stops: map[int]stop{}}
+		told: map[int]map[string]state{}, purges: map[int][]purge{}, lost: map[id]*txn{}, stops: map[int]stop{}}
 	for _, k := range f.Rules {
 		r.rules[k.Name] = k
 	}
@@ -165,8 +166,13 @@
 	"final": (*Referee).final, "left": (*Referee).left, "listed": (*Referee).list, "told": (*Referee).tell,
 	"told_purge": (*Referee).tellPurge, "router_down": (*Referee).down, "router_up": (*Referee).up,
 	// A txn that another router took runs here: all that is known of it is one.
+	// Its home may have died while it was on its way.
 	"carried": func(r *Referee, e *record.Entry) {
-		if t := r.txns[id{e.Hop, e.Txn}]; t != nil {
+		t := r.txns[id{e.Hop, e.Txn}]
+		if t == nil {
+			t = r.lost[id{e.Hop, e.Txn}]
+		}
+		if t != nil {
 			r.txns[id{e.Router, e.Txn}] = t
 			t.carried = append(t.carried, e.Router)
 		}
@@ -204,12 +210,17 @@
 	// A second answer, or work that begins after the first, may come for a while.
 	for len(r.done) > 0 && r.done[0].at < r.now-10*second {
 		key := r.done[0].id
-		if t := r.txns[key]; t != nil {
+		t := r.txns[key]
+		if t == nil {
+			t = r.lost[key]
+		}
+		if t != nil {
 			for _, other := range t.carried {
 				delete(r.txns, id{other, key.txn})
 			}
 		}
 		delete(r.txns, key)
+		delete(r.lost, key)
 		r.done = r.done[1:]
 	}
 }
@@ -394,9 +405,14 @@
 
 // down frees a router of what it held.
 func (r *Referee) down(e *record.Entry) {
-	for key := range r.txns {
-		if key.router == e.Router {
-			delete(r.txns, key)
+	for key, t := range r.txns {
+		if key.router != e.Router {
+			continue
+		}
+		delete(r.txns, key)
+		if _, twice := r.lost[key]; !twice {
+			r.lost[key] = t
+			r.done = append(r.done, ended{key, e.At})
 		}
 	}
 	delete(r.told, e.Router)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -196,6 +196,7 @@
 	cell         int
 	weight, size float64 // as listed; for the hash
 	born         int64   // 0: long past
+	returned     int64   // from its last rest
 	listed, gone bool
 	out          int   // hops out
 	waiting      int64 // since when the longest silence with hops out runs
@@ -236,7 +237,7 @@
 
 // back forgets what a server did before; its list stays.
 func (r *Router) back(s *server) {
-	s.rests, s.late = 0, nil
+	s.rests, s.late, s.returned = 0, nil, r.now
 	r.do(Action{Kind: ActLog, Text: "server is back: " + s.id})
 }
 
@@ -292,7 +293,20 @@
 // told, coldMargin deviations of the sum stay free as well: few hops may all be large.
 const coldShare, coldMargin = 0.75, 3
 
-func (r *Router) warm(s *server) bool { return s.born == 0 || r.now-s.born >= r.cold[s.role].lasts }
+// start is when a server began. A cache that comes back from a rest may have been started anew: for as long
+// as the list may not have told so, it is taken for that. It harms where it has only been out of reach.
+func (r *Router) start(s *server) int64 {
+	const untold = 7 * sec
+	if s.role == edge && s.returned > s.born && r.now-s.returned < untold {
+		return s.returned
+	}
+	return s.born
+}
+
+func (r *Router) warm(s *server) bool {
+	began := r.start(s)
+	return began == 0 || r.now-began >= r.cold[s.role].lasts
+}
 
 // affords tells whether a server can be sent the txn: any once warm, else this router's share in a window.
 func (r *Router) affords(s *server, t *txn) bool {
@@ -302,7 +316,7 @@
 	if r.now < r.holdTill {
 		return false
 	}
-	c, age, sum, vary := r.cold[s.role], r.now-s.born, float64(t.cost), t.vary
+	c, age, sum, vary := r.cold[s.role], r.now-r.start(s), float64(t.cost), t.vary
 	s.spent = slices.DeleteFunc(s.spent, func(p spend) bool { return p.at <= r.now-r.fallFor })
 	for _, p := range s.spent {
 		sum, vary = sum+float64(p.work), vary+p.vary
@@ -706,6 +720,7 @@
 		if n.Born > s.born {
 			s.born = n.Born
 			r.judge(s, signBorn)
+			s.returned = 0
 		}
 		if s.size = s.weight; r.live {
 			s.size = 1 // the same at every router
