Notice clients that left behind unread bytes, linger on closes, check hops as they are written

Bytes carry the time they came: a request sent ahead had its time counted from when the one before began to be answered. front.go Drain closed resting connections over what just came, and a request read in that moment was still sent on (state stayed waiting): it is shut, read on, and begins nothing; every close behind an answer lingers, since unread bytes reset it. serve.go: the backlog is accepted at the end, answers say close once the listener is shut, and drain ends before SIGKILL's earliest time. core: hops not yet written are withdrawn with their txn also where nobody may cancel. upstream: a hop is written only while its deadline, its keyed window and nine tenths of the graces since its decision hold.

--- a/cmd/quilldoor/change_test.go
+++ b/cmd/quilldoor/change_test.go
@@ -41,7 +41,7 @@
 		forgetful = true
 	case "a fifth slower":
 		lags = func(h *core.Hop, ended func()) {
-			time.AfterFunc(time.Duration(time.Now().UnixMicro()-h.Sent())*time.Microsecond/5, ended)
+			time.AfterFunc(time.Duration(time.Now().UnixMicro()-h.Decided)*time.Microsecond/5, ended)
 		}
 	}
 	wrongly = func(when string, r *router) {
--- a/cmd/quilldoor/serve.go
+++ b/cmd/quilldoor/serve.go
@@ -156,13 +156,15 @@
 		r.listener.SetDeadline(time.Now().Add(c.Limits.AcceptOn))
 		time.AfterFunc(c.Limits.AcceptOn, func() { r.front.Crowd(true) })
 		<-r.served
+		r.takeBacklog()
 		r.listener.Close()
+		r.front.Move(true) // requests still come on open connections: each is the last on its own
 		time.Sleep(c.Limits.ServeOn)
 	} else {
 		r.listener.Close()
 		r.front.Linger(c.Limits.IdleClient)
 	}
-	left := r.front.Drain(c.Limits.LongestTxn + c.Limits.ReplySlack)
+	left := r.front.Drain(c.Limits.DrainFor)
 	r.up.Close()
 	txns, _ := r.core.Count()
 	r.log.WithFields(logrus.Fields{"clients_left": left, "txns_left": txns}).Info("stopped")
@@ -217,6 +219,16 @@
 	go func(done chan<- error) { done <- r.front.Serve(r.listener) }(r.served)
 }
 
+// takeBacklog accepts what the machine has accepted already: a listener takes nothing
+// more once its deadline has passed, however late it got to run.
+func (r *router) takeBacklog() {
+	const soon = 5 * time.Millisecond // what is there is accepted without a wait
+	r.listener.SetDeadline(time.Now().Add(soon))
+	if err := r.front.Serve(r.listener); err != nil {
+		r.log.WithError(err).Warn("backlog of new connections lost")
+	}
+}
+
 // follow goes on following the board.
 func (r *router) follow(ctx context.Context) { r.unfollow = follow(ctx, r.follower, r.boardAt) }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -246,6 +246,7 @@
 	ReadOn       time.Duration // behind a refusal, and for one to be taken in
 	ReplySlack   time.Duration // past a txn's time limit, for a slow reader
 	Connect      time.Duration
+	Decided      time.Duration // how old the decision on a hop may be when it is written
 	IdleUpstream time.Duration
 	Write        time.Duration // for a server to take a write in
 	Frame        time.Duration // for a server to finish an answer that it began
@@ -258,6 +259,7 @@
 
 	AcceptOn time.Duration // after SIGTERM
 	ServeOn  time.Duration // after that, on open connections
+	DrainFor time.Duration // after that, for what was taken
 }
 
 // Within are the limits that the same settings give with other memory and descriptors.
@@ -293,12 +295,17 @@
 	for _, k := range s.Classes {
 		l.LongestTxn = max(l.LongestTxn, millis(k.GiveUpMs))
 	}
+	// SIGKILL comes no sooner than 0.7 s and the longest time limit after SIGTERM, which
+	// AcceptOn, ServeOn and this must stay within. What came in time ends sooner.
+	l.DrainFor = max(l.LongestTxn-l.ReplySlack, l.ReplySlack)
 	l.Frame, l.Remember = l.LongestTxn+time.Second, 2*l.LongestTxn
 	// A hop may wait this long for its connection, and what was told meanwhile of
 	// drains and purges must still be kept when it is written.
+	l.Decided = l.LongestTxn
 	for _, grace := range []float64{s.Contract.DrainGraceMs, s.FamilyInfo.PurgeGraceMs} {
 		if grace > 0 {
 			l.Connect = min(l.Connect, millis(grace)*3/4)
+			l.Decided = min(l.Decided, millis(grace)*9/10)
 		}
 	}
 	return l
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -109,7 +109,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !t.closed {
-		c.close(t)
+		c.close(now, t)
 		c.handle(now, logic.Event{Kind: logic.EvAbandoned, Txn: t.ID})
 	}
 }
@@ -152,12 +152,12 @@
 	t.ran = t.ran || !unrun[o.Code]
 	if o.Code == "done" && !t.closed {
 		t.post(Order{Kind: Completed, Hop: h, Reply: o.Reply})
-		c.close(t)
+		c.close(now, t)
 	} else if o.Reply != nil {
 		o.Reply.Release()
 	}
 	c.queue = append(c.queue, logic.Event{Kind: logic.EvAnswer, Txn: t.ID, Server: h.Server.Server, Hop: h.N,
-		Code: o.Code, Note: o.Note, Final: t.closed, RTT: now - h.sent, Waited: o.Waited, Load: o.Load})
+		Code: o.Code, Note: o.Note, Final: t.closed, RTT: now - h.Decided, Waited: o.Waited, Load: o.Load})
 	c.forget(t)
 }
 
@@ -274,7 +274,7 @@
 	case d.txn != nil:
 		// No answer has come from the module by now, and one is owed.
 		d.txn.post(Order{Kind: Aborted, Ran: true})
-		c.close(d.txn)
+		c.close(now, d.txn)
 		c.queue = append(c.queue, logic.Event{Kind: logic.EvAbandoned, Txn: d.txn.ID})
 	default:
 		c.queue = append(c.queue, logic.Event{Kind: logic.EvTimer, Token: d.token})
@@ -314,7 +314,7 @@
 				kind = Rejected
 			}
 			t.post(Order{Kind: kind, Stay: a.Stay, Ran: t.ran || t.out > 0})
-			c.close(t)
+			c.close(now, t)
 		}
 	case logic.ActCancel:
 		if t != nil && a.Hop >= 0 && a.Hop < len(t.hops) && !t.hops[a.Hop].ended {
@@ -351,7 +351,7 @@
 
 // send makes a hop. One that can't go out ends at once, proven not to have run.
 func (c *Core) send(now int64, t *Txn, a logic.Action) {
-	h := &Hop{Txn: t, N: len(t.hops), Rank: a.Rank, Age: a.Age, Mode: a.Mode, Due: t.deadline, sent: now, Twice: t.unsafe && (t.ran || t.out > 0)}
+	h := &Hop{Txn: t, N: len(t.hops), Rank: a.Rank, Age: a.Age, Mode: a.Mode, Due: t.deadline, Until: a.Until, Decided: now, Twice: t.unsafe && (t.ran || t.out > 0)}
 	t.hops = append(t.hops, h)
 	t.out++
 	if a.Cap > 0 {
@@ -375,11 +375,18 @@
 	t.post(Order{Kind: Send, Hop: h})
 }
 
-// close ends the txn for the client. Its hops still get their outcomes.
-func (c *Core) close(t *Txn) {
+// close ends the txn for the client. Its hops still get their outcomes; one of which
+// not a byte is written begins no more, also where none may be withdrawn later.
+func (c *Core) close(now int64, t *Txn) {
 	t.closed = true
 	c.over(t.limit)
 	c.open--
+	for _, h := range t.hops {
+		if !h.ended && h.Withdraw() {
+			t.post(Order{Kind: Drop, Hop: h})
+			c.ended(now, h, Outcome{Code: "skipped"})
+		}
+	}
 	c.forget(t)
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -225,3 +225,48 @@
 		t.Fatal("an ended txn has orders")
 	}
 }
+
+// Where a site lets nobody cancel, a hop that waits for its connection once went out
+// for a client that had left, or behind its txn's answer.
+func TestNothingBeginsForAClosedTxnWhereNobodyMayCancel(t *testing.T) {
+	w := newWorld(func(s *logic.Settings) { s.Limits.Cancel = false })
+	txn := w.ask(t, "read")
+	h := next(t, txn, Send).Hop
+	w.Leave(start+ms, txn)
+	if h.Begin() {
+		t.Error("the hop begins")
+	}
+	next(t, txn, Drop)
+	if open, _ := w.Count(); open != 0 || len(w.txns) != 0 {
+		t.Errorf("%d open, %d kept", open, len(w.txns))
+	}
+	// One that may be on the wire stays out until its end.
+	txn = w.ask(t, "read")
+	h = next(t, txn, Send).Hop
+	h.Begin()
+	w.Leave(start+ms, txn)
+	if len(txn.Take()) != 0 || len(w.txns) != 1 {
+		t.Error("it was given up")
+	}
+}
+
+// The bound on a keyed repeat comes from the module to where it is written.
+func TestARepeatStandsWithinItsWindowOnly(t *testing.T) {
+	w := newWorld(func(s *logic.Settings) {
+		s.Rules[0] = logic.RemapRule{Name: "read", Effect: "keyed", Window: 300 * ms, SLA: 200 * ms, Importance: 1}
+	})
+	txn := w.ask(t, "read")
+	first := next(t, txn, Send).Hop
+	first.Begin()
+	if !first.Stands(start+399*ms, 1e6) {
+		t.Error("the first hop has no window")
+	}
+	w.Ended(start+100*ms, first, Outcome{Code: "econnreset"})
+	again := next(t, txn, Send).Hop
+	if !again.Stands(start+299*ms, 1e6) || again.Stands(start+300*ms, 1e6) {
+		t.Errorf("repeat until %d", again.Until-start)
+	}
+	if again.Stands(start+290*ms, 100*ms) {
+		t.Error("an old decision stands")
+	}
+}
--- a/internal/core/txn.go
+++ b/internal/core/txn.go
@@ -81,19 +81,20 @@
 
 // Hop is one attempt of a txn at a server.
 type Hop struct {
-	Txn    *Txn
-	N      int
-	Server *Server
-	Source string // "": a miss is not filled
-	Rank   int
-	Age    int64 // whole microseconds; 0: the fresh time of the class
-	Mode   int
-	Due    int64 // when the router stops waiting
-	Twice  bool  // its txn is unrepeatable, and another hop of it may have run
+	Txn     *Txn
+	N       int
+	Server  *Server
+	Source  string // "": a miss is not filled
+	Rank    int
+	Age     int64 // whole microseconds; 0: the fresh time of the class
+	Mode    int
+	Decided int64 // when the module decided on it
+	Due     int64 // when the router stops waiting
+	Until   int64 // when it may no more be written; 0: as Due
+	Twice   bool  // its txn is unrepeatable, and another hop of it may have run
 	// Carrier has the hop on the sockets, once it was sent.
 	Carrier interface{ Drop(silent bool) }
 
-	sent  int64
 	limit *timer
 	ended bool
 	state atomic.Uint32
@@ -105,9 +106,6 @@
 	withdrawn               // it will not be written
 )
 
-// Sent is when the module decided on it.
-func (h *Hop) Sent() int64 { return h.sent }
-
 // Drop gives the hop up on the sockets, if it came there.
 func (h *Hop) Drop(silent bool) {
 	if h.Carrier != nil {
@@ -118,6 +116,16 @@
 // Begin claims the hop for being written; false: it was withdrawn.
 func (h *Hop) Begin() bool { return h.state.CompareAndSwap(waiting, begun) }
 
+// Withdrawn tells whether it was withdrawn before it began.
+func (h *Hop) Withdrawn() bool { return h.state.Load() == withdrawn }
+
+// Stands tells whether what was decided may still be written, at the moment of
+// writing: its time is not over, a repeat is within its window, and nothing that was
+// told since the decision binds yet, which it does later than the given time.
+func (h *Hop) Stands(now, fresh int64) bool {
+	return now < h.Due && (h.Until == 0 || now < h.Until) && now-h.Decided <= fresh
+}
+
 // Withdraw tells whether it is proven that the hop was not written and will
 // not be.
 func (h *Hop) Withdraw() bool {
--- a/internal/emulate/rollouts.go
+++ b/internal/emulate/rollouts.go
@@ -222,7 +222,7 @@
 }
 
 func (r *rolling) sent(router int, rule string, h *core.Hop) {
-	r.eyes[router].acts.Hop(h.Sent(), h.Server.Server, h.Source, rule, h.Twice)
+	r.eyes[router].acts.Hop(h.Decided, h.Server.Server, h.Source, rule, h.Twice)
 }
 
 func (r *rolling) answered(router int, a *world.Ask, h *core.Hop, issued int64) {
@@ -231,7 +231,7 @@
 		return
 	}
 	flow := r.virtual.set.Fleet.FlowKBPerS / 1e6
-	r.eyes[router].acts.Answered(k.Name, a.Object, a.Group, h.Sent(), issued+epoch, a.SizeKB/flow)
+	r.eyes[router].acts.Answered(k.Name, a.Object, a.Group, h.Decided, issued+epoch, a.SizeKB/flow)
 }
 
 // look lets a router's witness judge; each change is another process.
--- a/internal/emulate/virtual.go
+++ b/internal/emulate/virtual.go
@@ -447,7 +447,7 @@
 	}
 	c, hop := r.core, h.Tag.(*core.Hop)
 	if v.opt.Lag != nil {
-		if by := int64(v.opt.Lag(router) * float64(v.now()-hop.Sent())); by > 0 {
+		if by := int64(v.opt.Lag(router) * float64(v.now()-hop.Decided)); by > 0 {
 			v.world.After(by, func() {
 				if r.core == c {
 					c.Ended(v.now(), hop, o)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,7 +3,6 @@
 package front
 
 import (
-	"bufio"
 	"errors"
 	"maps"
 	"math"
@@ -194,7 +193,7 @@
 			}
 			return err
 		}
-		c := &client{Conn: sock, r: bufio.NewReaderSize(sock, buffer.Size), since: time.Now()}
+		c := newClient(sock)
 		f.mu.Lock()
 		for len(f.clients) >= f.most && !f.crowd {
 			f.giveWay()
@@ -234,22 +233,27 @@
 	f.room.Signal()
 }
 
-// Drain makes every further answer the last on its connection, closes idle
+// Drain makes every further answer the last on its connection, shuts idle
 // connections, and waits until the others have ended, or the time is over.
+// Nothing is begun on a connection that was shut.
 func (f *Front) Drain(within time.Duration) (left int) {
 	f.draining.Store(true)
-	over := time.AfterFunc(within, func() {
+	end := time.AfterFunc(within, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.none.Broadcast()
 	})
-	defer over.Stop()
+	defer end.Stop()
 	until := time.Now().Add(within)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.clients {
-		if c.state == waiting {
-			c.Close()
+		if c.state != waiting {
+			continue
+		}
+		if readable, _ := c.look(); !readable { // else a request came before this side was shut
+			c.state = over
+			c.SetReadDeadline(time.Now()) // wakes its goroutine, which shuts it
 		}
 	}
 	for len(f.clients) > 0 && time.Now().Before(until) {
@@ -273,29 +277,6 @@
 	return len(f.clients)
 }
 
-// client is a connection.
-type client struct {
-	net.Conn
-	r *bufio.Reader
-	// first is when the first byte of the request after the one in hand came, if it
-	// has come already.
-	first time.Time
-	until time.Time // when the request in hand must have come whole
-
-	state state // under the front's lock, as what follows
-	asked bool  // it has had an answer
-	since time.Time
-}
-
-type state uint8
-
-const (
-	waiting state = iota // for the first byte of a request
-	sending              // a request is coming
-	busy                 // with a request that has come whole
-	over                 // told to give way
-)
-
 // turn notes a connection's state; who has become idle may give way. False: it
 // has been closed to that end, and nothing must be begun for it.
 func (f *Front) turn(c *client, to state) bool {
@@ -314,7 +295,7 @@
 // serve is the life of a client's connection.
 func (f *Front) serve(c *client) {
 	defer func() {
-		c.Close()
+		c.shut(f.limits.ReadOn, f.limits.ReadOff)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.clients, c)
@@ -336,20 +317,24 @@
 // next waits for the first byte of a request. A client that never had an answer
 // has one time for that and for its whole request: it is owed an end.
 func (f *Front) next(c *client) bool {
+	f.mu.Lock()
+	if c.state == over { // Drain's wake came before this deadline
+		f.mu.Unlock()
+		return false
+	}
 	c.until = c.since.Add(f.limits.RequestTime)
 	if c.asked {
 		c.SetReadDeadline(time.Now().Add(f.limits.IdleClient))
 	} else {
 		c.SetReadDeadline(c.until)
 	}
+	f.mu.Unlock()
 	if _, err := c.r.Peek(1); err != nil {
 		return false
 	}
-	if c.first.IsZero() {
-		c.first = time.Now()
-	}
 	if c.asked {
-		c.until = c.first.Add(f.limits.RequestTime)
+		// From now: of what was sent early the time before was another txn's.
+		c.until = time.Now().Add(f.limits.RequestTime)
 		c.SetReadDeadline(c.until)
 	}
 	return f.turn(c, sending)
@@ -357,15 +342,14 @@
 
 // request serves one request; false: the connection is to be closed.
 func (f *Front) request(c *client) bool {
-	first := c.first
-	c.first = time.Time{}
+	first := c.tap.came(c.r.Buffered())
 	h, err := http1.ReadRequest(c.r, http1.Bounds{Bytes: f.limits.Head, Fields: f.limits.Fields, Body: f.limits.Upload})
 	if err != nil {
 		var fault *http1.Error
 		if errors.As(err, &fault) {
-			f.refuse(c, fault.Status)
+			f.plain(c, fault.Status, true)
 		} else if errors.Is(err, os.ErrDeadlineExceeded) {
-			f.refuse(c, 408)
+			f.plain(c, 408, true)
 		}
 		return false
 	}
@@ -404,19 +388,6 @@
 	return f.txn(c, t, last) && !last
 }
 
-// refuse answers what is no request. It reads on for a while, since a connection
-// closed over bytes that nobody read is reset, and the reset may eat the answer.
-func (f *Front) refuse(c *client, status int) {
-	if !f.plain(c, status, true) {
-		return
-	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
-	}
-	c.SetReadDeadline(time.Now().Add(f.limits.ReadOn))
-	c.r.Discard(f.limits.ReadOff)
-}
-
 // plain answers without a body. What fits no socket's buffer isn't worth a wait.
 func (f *Front) plain(c *client, status int, last bool) bool {
 	return f.write(c, time.Now().Add(f.limits.ReadOn), http1.AppendResponse(nil, status, 0, last)) == nil
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -123,7 +123,8 @@
 func TestNothingIsBegunForWhoGaveWay(t *testing.T) {
 	d := newDoor(t, 1, 10*time.Second)
 	ours, theirs := net.Pipe()
-	c := &client{Conn: theirs, r: bufio.NewReader(theirs), since: time.Now(), state: over}
+	c := newClient(theirs)
+	c.state = over
 	got := make(chan int)
 	go func() {
 		fmt.Fprintf(ours, whole, 1)
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -1,9 +1,7 @@
 package front
 
 import (
-	"errors"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -116,6 +114,9 @@
 	if a.event.Remaining <= 0 { // it waited in our buffers for all of its time
 		return f.plain(c, 504, last)
 	}
+	if c.left() { // nothing is begun for nobody
+		return false
+	}
 	arrived := make(chan struct{}, 1)
 	t, err := f.core.Open(now.UnixMicro(), a.event, func() {
 		select {
@@ -182,7 +183,7 @@
 		if f.flow > 0 {
 			took = float64(r.Len()) / f.flow * 1e6
 		}
-		f.acts.Answered(a.event.Rule, a.event.Object, a.event.Group, o.Hop.Sent(), r.Issued*1000, took)
+		f.acts.Answered(a.event.Rule, a.event.Object, a.event.Group, o.Hop.Decided, r.Issued*1000, took)
 	}
 }
 
@@ -205,7 +206,7 @@
 			flight := &upstream.Flight{Hop: o.Hop, Class: a.event.Rule, Object: a.event.Object,
 				Part: a.event.Part, Tag: tag, Body: a.body, Write: a.event.Write}
 			o.Hop.Carrier = flight
-			f.acts.Hop(o.Hop.Sent(), o.Hop.Server.Server, o.Hop.Source, a.event.Rule, o.Hop.Twice)
+			f.acts.Hop(o.Hop.Decided, o.Hop.Server.Server, o.Hop.Source, a.event.Rule, o.Hop.Twice)
 			f.up.Send(flight)
 		case core.Drop:
 			f.leave(o)
@@ -290,8 +291,7 @@
 }
 
 // wait returns when the mailbox has something, or false once the client has
-// left. It sees both by one read that the mailbox's bell cuts short. A client
-// that sends on early can't be watched any further.
+// left. It sees both by one read that the mailbox's bell cuts short.
 func (f *Front) wait(c *client, arrived <-chan struct{}) bool {
 	c.SetReadDeadline(time.Time{})
 	select {
@@ -299,22 +299,14 @@
 		return true
 	default:
 	}
-	_, err := c.r.Peek(1)
-	if err == nil {
-		if c.first.IsZero() {
-			c.first = time.Now()
-		}
-		<-arrived
-		return true
+	if !c.watch(arrived) {
+		return false
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		select {
-		case <-arrived:
-		default:
-		}
-		return true
+	select {
+	case <-arrived:
+	default:
 	}
-	return false
+	return true
 }
 
 // answer writes the final answer.
--- a/internal/standstill/standstill.go
+++ b/internal/standstill/standstill.go
@@ -47,7 +47,7 @@
 	case now-w.last > least: // reading is ahead of the first tick
 		return now - w.last
 	case w.gap > 0 && now-w.woke < After:
-		return w.gap + now - w.woke
+		return max(w.gap+now-w.woke, 0) // 0: it was read before the process stood still
 	}
 	return 0
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -145,17 +145,22 @@
 	}
 }
 
-// write puts a batch on the wire. Hops whose last byte was not taken can't have
-// come whole, so that they are proven not to have run.
+// write puts a batch on the wire, but for hops whose decision stands no more. Those
+// whose last byte was not taken can't have come whole, so that they are proven not
+// to have run.
 func (c *conn) write(batch []item, now time.Time) bool {
 	var bufs net.Buffers
 	ends := make([]int64, len(batch))
+	var unsent []*Flight
 	var size int64
 	add := func(b []byte) {
 		bufs = append(bufs, b)
 		size += int64(len(b))
 	}
 	for i, it := range batch {
+		if it.flight != nil && !it.flight.Hop.Stands(now.UnixMicro(), c.pool.limits.Decided.Microseconds()) && it.flight.Hop.Withdraw() {
+			unsent = append(unsent, it.flight)
+		}
 		switch {
 		case it.flight == nil && it.drop != "":
 			add(lines.AppendDrop(nil, it.drop))
@@ -185,6 +190,15 @@
 			c.pool.ended(it.flight.Hop, core.Outcome{Code: "econnrefused"})
 		}
 	}
+	for _, f := range unsent {
+		c.pool.mu.Lock()
+		if id := f.Hop.Txn.ID; c.open[id] == f {
+			delete(c.open, id)
+			c.rest()
+		}
+		c.pool.mu.Unlock()
+		c.pool.ended(f.Hop, core.Outcome{Code: "skipped"})
+	}
 	return err == nil
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -87,6 +87,9 @@
 // Send puts a hop on a connection. Its outcome, whatever becomes of it, goes to
 // Ended, unless it is dropped first.
 func (p *Pool) Send(f *Flight) {
+	if f.Hop.Withdrawn() { // its client left as it was decided
+		return
+	}
 	id := f.Hop.Txn.ID
 	p.mu.Lock()
 	c := p.choose(p.peer(f.Hop.Server), id)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 		t.Fatal(err)
 	}
 	limits := &config.Limits{Upstream: 8, PerServer: 4, Streams: 2, Answer: 1000, Connect: 5 * time.Second,
-		Write: 5 * time.Second, Frame: 5 * time.Second, Stall: 5 * time.Second}
+		Write: 5 * time.Second, Frame: 5 * time.Second, Stall: 5 * time.Second, Decided: 5 * time.Second}
 	if change != nil {
 		change(limits)
 	}
@@ -47,7 +48,7 @@
 func (s *stand) flight(id string) *Flight {
 	server := &core.Server{Entry: logic.Entry{Server: "c"}, Endpoint: s.Addr().String()}
 	return &Flight{Class: "page", Object: "x", Hop: &core.Hop{Txn: &core.Txn{ID: id}, Server: server,
-		Due: time.Now().Add(time.Second).UnixMicro()}}
+		Decided: time.Now().UnixMicro(), Due: time.Now().Add(time.Second).UnixMicro()}}
 }
 
 // got accepts a connection and reads its first line.
@@ -220,3 +221,43 @@
 		t.Fatalf("%d places", len(s.peers))
 	}
 }
+
+// What was decided must still stand when it is written: its deadline, the window of
+// a keyed repeat, and the time after which what was told meanwhile binds.
+func TestWhatStandsNoMoreIsNotWritten(t *testing.T) {
+	s := newStand(t, func(l *config.Limits) { l.Decided = time.Second })
+	for name, change := range map[string]func(h *core.Hop, now int64){
+		"its time is over":        func(h *core.Hop, now int64) { h.Due = now },
+		"the window has closed":   func(h *core.Hop, now int64) { h.Until = now },
+		"it was decided long ago": func(h *core.Hop, now int64) { h.Decided = now - 2e6 },
+	} {
+		f := s.flight("late")
+		change(f.Hop, time.Now().UnixMicro())
+		s.Send(f)
+		if got := <-s.ends; got != "skipped" {
+			t.Errorf("%s: %s", name, got)
+		}
+	}
+	still := s.flight("good") // on the same connection, which is idle again
+	still.Hop.Until = time.Now().Add(5 * time.Second).UnixMicro()
+	s.Send(still)
+	c, err := s.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if line, err := bufio.NewReader(c).ReadString('\n'); !strings.HasPrefix(line, "GET good ") {
+		t.Errorf("first on the wire: %q, %v", line, err)
+	}
+}
+
+// A hop whose txn ended before it came to a connection opens none.
+func TestWithdrawnHopOpensNoConnection(t *testing.T) {
+	s := newStand(t, nil)
+	f := s.flight("gone")
+	f.Hop.Withdraw()
+	s.Send(f)
+	if n := s.Count(); n != 0 {
+		t.Errorf("%d connections", n)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -878,8 +878,11 @@
 	if r.joins && !t.rule.write {
 		mode |= modeJoin
 	}
+	until := int64(0) // rule 2 binds when the hop is written, which may be later than now
 	if t.state == clean && !t.taint() {
 		t.firstRun = r.now
+	} else if mayTable[t.rule.effect].timed {
+		until = t.firstRun + t.rule.window
 	}
 	t.hops = append(t.hops, hop{server: to, source: from, sent: r.now, out: true, kind: kind})
 	to.room[kind].out++
@@ -895,7 +898,7 @@
 		cap = min(left, 2*t.sla())
 	}
 	r.do(Action{Kind: ActGet, Txn: t.id, Server: to.id, Source: from.id, Rank: rank,
-		Age: r.age(t, grace), Cap: cap, Mode: mode})
+		Age: r.age(t, grace), Cap: cap, Until: until, Mode: mode})
 }
 
 // again follows a hop that ended without an answer.
--- a/logic/types.go
+++ b/logic/types.go
@@ -177,6 +177,7 @@
 	Rank   int
 	Age    int64
 	Cap    int64
+	Until  int64 // get: a keyed repeat must be written before; 0: no such bound
 	Mode   int
 	Hop    int
 	Stay   int64
