Pass the mark of keyed txns on, check tags of 304, keep accepting over passing errors

By reading: NOMOD with another tag than the client's made a 304; accept errors besides Temporary ended the router (accept(2) lists those that pass); SIGTERM before the configuration was read killed it.

--- a/cmd/quilldoor/main.go
+++ b/cmd/quilldoor/main.go
@@ -21,10 +21,11 @@
 )
 
 func main() {
-	// A SIGHUP that comes before the router can reload must not end it.
-	hup := make(chan os.Signal, 1)
+	// A SIGHUP that comes before the router can reload must not end it, nor a SIGTERM
+	// before it can answer what it may have taken.
+	hup, term := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	if err := command(hup).Execute(); err != nil {
+	if err := command(hup, term).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "quilldoor:", err)
 		os.Exit(1)
 	}
@@ -37,9 +38,9 @@
 }
 
 // command is the command line. Without a command the router runs.
-func command(hup <-chan os.Signal) *cobra.Command {
+func command(hup <-chan os.Signal, term chan os.Signal) *cobra.Command {
 	var f flags
-	run := func(*cobra.Command, []string) error { return f.serve(hup) }
+	run := func(*cobra.Command, []string) error { return f.serve(hup, term) }
 	root := &cobra.Command{Use: "quilldoor", Short: "A txn router for edge caches", Args: cobra.NoArgs, RunE: run,
 		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
 	all := root.PersistentFlags()
@@ -58,7 +59,8 @@
 	return root
 }
 
-func (f *flags) serve(hup <-chan os.Signal) error {
+func (f *flags) serve(hup <-chan os.Signal, term chan os.Signal) error {
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	out := newOutlet(os.Stderr)
 	defer out.flush(time.Second)
 	log, err := f.logger()
@@ -70,8 +72,6 @@
 	if err != nil {
 		return err
 	}
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	return serve(c, log, term, hup, f.load)
 }
 
--- a/cmd/quilldoor/serve_test.go
+++ b/cmd/quilldoor/serve_test.go
@@ -78,6 +78,9 @@
 	return fmt.Sprintf("%s ACK entity=e1,issued=7,detail=HIT %d\r\n%s\r\n", id, len(body), body)
 }
 
+// serveOn is how long routers under test serve on behind their listeners.
+var serveOn = 50 * time.Millisecond
+
 // running is a router under test.
 type running struct {
 	addr, path, text string // of its configuration, board at 127.0.0.1:1
@@ -128,7 +131,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.Limits.AcceptOn, c.Limits.ServeOn = 300*time.Millisecond, 50*time.Millisecond
+	c.Limits.AcceptOn, c.Limits.ServeOn = 300*time.Millisecond, serveOn
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	log.AddHook(r)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,8 +8,10 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"quilldoor/internal/buffer"
@@ -180,19 +182,21 @@
 // Serve accepts clients until the listener is closed or its deadline passes.
 // Above the bound on clients it makes one give way and waits until it has left.
 func (f *Front) Serve(l net.Listener) error {
+	var pause time.Duration
 	for {
 		sock, err := l.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 				return nil
 			}
-			var passing interface{ Temporary() bool }
-			if errors.As(err, &passing) && passing.Temporary() {
-				time.Sleep(f.limits.RetryFirst)
-				continue
+			if !passes(err) {
+				return err
 			}
-			return err
+			pause = min(max(2*pause, f.limits.RetryFirst), f.limits.RetryMost)
+			time.Sleep(pause)
+			continue
 		}
+		pause = 0
 		c := newClient(sock)
 		f.mu.Lock()
 		for len(f.clients) >= f.most && !f.crowd {
@@ -205,6 +209,19 @@
 	}
 }
 
+// passes tells whether accepting may go on later: descriptors or memory are short, or
+// the error is that of the new connection (accept(2) names them).
+func passes(err error) bool {
+	var temporary interface{ Temporary() bool }
+	if errors.As(err, &temporary) && temporary.Temporary() {
+		return true
+	}
+	var code syscall.Errno
+	return errors.As(err, &code) && slices.Contains([]syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM,
+		syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH,
+		syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ECONNABORTED}, code)
+}
+
 // giveWay closes a connection on which no txn is open: the oldest of those that
 // never had an answer, else the one idle longest. Silent clients come by the
 // hundreds and go first; a usual one asks again on a new connection.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -185,3 +186,37 @@
 		t.Fatalf("%q", got)
 	}
 }
+
+// short is a listener that lacks memory a few times before it has a client.
+type short struct {
+	net.Listener
+	left   int
+	client net.Conn
+}
+
+func (s *short) Accept() (net.Conn, error) {
+	if s.left--; s.left >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.ENOBUFS)}
+	}
+	if c := s.client; c != nil {
+		s.client = nil
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// An error of accept that passes once ended the router, where it was not one of three.
+func TestShortMemoryEndsNoListener(t *testing.T) {
+	d := newDoor(t, 1, 10*time.Second)
+	ours, theirs := net.Pipe()
+	v := &visitor{ours, bufio.NewReader(ours)}
+	v.SetDeadline(time.Now().Add(5 * time.Second))
+	served := make(chan error, 1)
+	go func() { served <- d.Serve(&short{left: 3, client: theirs}) }()
+	if got := v.status(fmt.Sprintf(whole, 1)); got != "503" {
+		t.Fatalf("%q", got)
+	}
+	if err := <-served; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/front/txn.go
+++ b/internal/front/txn.go
@@ -19,6 +19,7 @@
 type ask struct {
 	event logic.Event
 	tag   string // of the client's copy, bare
+	key   string // its mark against repeats, of a keyed rule
 	body  *buffer.Body
 	first time.Time // when the request began to come
 	ttl   time.Duration
@@ -76,6 +77,13 @@
 			a.tag = "" // a list, or any copy at all: nothing that could be passed on
 		}
 	}
+	if key, told := only("x-txn-key"); told {
+		a.key = key
+		ok = ok && lines.Plain(key)
+	}
+	if rule.Effect == "keyed" && a.key == "" {
+		return nil, 400 // a repeat of it could not be told from another
+	}
 	if !ok {
 		return nil, 400
 	}
@@ -147,7 +155,7 @@
 				}
 				return false
 			}
-			if gate := f.gate.Load(); gate != nil {
+			if gate := f.gate.Load(); gate != nil && a.key == "" { // its frames carry no mark
 				gate.Home(final.Kind == core.Rejected)
 				if final.Kind == core.Rejected && !f.across(c, gate, a, final, limit, arrived) {
 					f.ends[endLeft].Add(1)
@@ -204,7 +212,7 @@
 		switch o.Kind {
 		case core.Send:
 			flight := &upstream.Flight{Hop: o.Hop, Class: a.event.Rule, Object: a.event.Object,
-				Part: a.event.Part, Tag: tag, Body: a.body, Write: a.event.Write}
+				Part: a.event.Part, Tag: tag, Key: a.key, Body: a.body, Write: a.event.Write}
 			o.Hop.Carrier = flight
 			f.acts.Hop(o.Hop.Decided, o.Hop.Server.Server, o.Hop.Source, a.event.Rule, o.Hop.Twice)
 			f.up.Send(flight)
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -22,6 +22,7 @@
 	Age               int64 // 0: the fresh time of the class
 	Mode              int   // bits, as the module has them
 	Tag               string
+	Key               string // the client's mark against repeats
 	Length            int
 }
 
@@ -76,6 +77,9 @@
 	if g.Tag != "" {
 		b = append(append(b, ",mine="...), g.Tag...)
 	}
+	if g.Key != "" {
+		b = append(append(b, ",uniq="...), g.Key...)
+	}
 	b = append(b, ' ')
 	b = strconv.AppendInt(b, int64(g.Length), 10)
 	return append(b, "\r\n"...)
--- a/internal/lines/server.go
+++ b/internal/lines/server.go
@@ -85,6 +85,8 @@
 			}
 		case "mine":
 			g.Tag = value
+		case "uniq":
+			g.Key = value
 		default:
 			return broken("field %.20q", name)
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -267,7 +267,7 @@
 		}
 	}
 	code := codes[a.Word]
-	if full != nil {
+	if full != nil || f != nil && a.Word == lines.NoMod && a.Tag != f.Tag { // it names a copy that nobody has
 		code = "err"
 	}
 	p.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,6 +21,7 @@
 	Class, Object string
 	Part          int64
 	Tag           string
+	Key           string       // the client's mark against repeats
 	Body          *buffer.Body // nil: none
 	Write         bool         // its answer is no copy of an object
 	conn          *conn
@@ -292,7 +293,7 @@
 func (f *Flight) command(now int64) *lines.Get {
 	h := f.Hop
 	g := &lines.Get{ID: h.Txn.ID, Class: f.Class, Object: f.Object, Part: f.Part, Source: h.Source, Rank: h.Rank,
-		Mode: h.Mode, Tag: f.Tag, Length: f.Body.Len(), Budget: max((h.Due-now)/1000, 1)}
+		Mode: h.Mode, Tag: f.Tag, Key: f.Key, Length: f.Body.Len(), Budget: max((h.Due-now)/1000, 1)}
 	if h.Age > 0 {
 		g.Age = max(h.Age/1000, 1)
 	}
