Leave out fills as the origin slows, by how long they wait; a new life spends nothing cold

Traced at 60 nodes by printing each hop's end: a purge and a slow origin meet, waits rise from 150 ms to 1.6 s from second 8, 140 fills a second run out of time, from 9 s the origin turns calls away (note 10), at 11.00 it stops for 6 s and all writes with it. Excluded by the same trace: cold caches (all listed ones are warm; the guess that cold shares below one call were to blame was wrong), connections that come up late, the caches' limits (no router had enough late fills at one). Lines at fault: nothing in hop looks at the origin; room and learn see single caches, one or two fills a second each. Now waits told (note 3) are held against their minute's mean; what is over twice of it is left out in that part, txn by txn, so that looks and loans stand in; overdue fills count once told waits rise; failures count more each time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -520,8 +520,9 @@
 	deadline int64
 	looked   int // the last of looks and loans it has had
 	state    state
-	due      int64 // of a held txn; 0: not held
-	firstRun int64 // when the first hop that may have run went out
+	due      int64   // of a held txn; 0: not held
+	luck     float64 // drawn once; 0: not yet
+	firstRun int64   // when the first hop that may have run went out
 	hops     []hop
 	tried    []*server // servers and sources that failed this txn
 }
@@ -572,9 +573,10 @@
 	open           []*txn // in order of arrival; closed ones leave at the next sweep
 	failed         []end  // of the last hops that might fill: those that brought no answer
 	dice           uint64
-	part           float64   // this router's of its location
-	holdTill       int64     // cold servers get nothing before
-	beyond         [3]room   // for hops that pass the caches by: they share one link in
+	part           float64 // this router's of its location
+	holdTill       int64   // cold servers get nothing before
+	beyond         [3]room // for hops that pass the caches by: they share one link in
+	waits          waits
 	values         []float64 // importance for sending time of the last txns
 	purges         []purge
 	ticking        bool
@@ -687,6 +689,9 @@
 		r.askAt = r.now + retry
 		return
 	}
+	if e.Scope == "disk" { // an earlier life may have spent this router's share of cold budgets
+		r.holdTill = max(r.holdTill, r.now+r.fallFor)
+	}
 	if r.pull && e.Scope == "disk" {
 		r.do(Action{Kind: ActSubscribe})
 	}
@@ -857,8 +862,9 @@
 	// holds, without the origin behind it. Else it is given up, unless a fill has room by then.
 	const slack = 0.5 // a fuller link in makes fills late itself
 	rank, mode, kind, grace := 0, 0, fills, int64(0)
-	if to.role != origin && !t.rule.write && r.jammed(t, &to.room[fills]) {
-		if next := r.pick(t, edge, r.idle); next != nil {
+	shed := !t.rule.write && r.shed(t)
+	if to.role != origin && !t.rule.write && (shed || r.jammed(t, &to.room[fills])) {
+		if next := r.pick(t, edge, r.idle); next != nil && !shed {
 			to = next
 		} else if t.looked++; t.looked == looks && !r.jammed(t, &to.room[looks]) {
 			kind, from, grace = looks, to, t.rule.grace
@@ -901,6 +907,60 @@
 		Age: r.age(t, grace), Cap: cap, Until: until, Mode: mode})
 }
 
+// waits is how long the origin lets fills wait, of late against what it used to. One router sees few fills,
+// but the origin gets those of all: each leaves out the part by which it is slower than bearable, before it
+// stops. It takes answers that give their reasons; without them limits alone hold fills back.
+type waits struct {
+	calm, told, late float64 // means: of a minute, of the last told, of those and the overdue
+	at               int64   // of the last told
+}
+
+// bearable is how much longer than in calm fills may wait: where that doubles, half of them are left out. It
+// harms where parents are slow and the origin is not.
+const bearable = 2
+
+// note takes in a wait, told or the age of a fill that is overdue. An overdue fill may be its cache's: it
+// counts once waits that were told are longer, too.
+func (w *waits) note(now int64, us float64, told bool) {
+	const minute, few, suspect = 60 * float64(sec), 4, 1.5
+	switch {
+	case told && w.calm == 0:
+		w.calm, w.told, w.late, w.at = us, us, us, now
+	case told:
+		part := min(float64(now-w.at)/minute, 1./16)
+		w.calm += min(us-w.calm, w.calm) * part // a jam is no calm
+		w.told += (us - w.told) / few
+		w.at = now
+	case w.told <= suspect*w.calm:
+		return
+	}
+	w.late += (us - w.late) / few
+}
+
+// fail takes in a fill that the origin failed: it is far from calm, and with each farther.
+func (w *waits) fail() {
+	const far, farthest = 4 * bearable, 32 * bearable
+	w.late = min(max(1.25*w.late, far*w.calm), farthest*w.calm)
+}
+
+// ease lets what was long ago count less: an origin that stopped comes back, and nobody asks it.
+func (w *waits) ease(every, within int64) {
+	if w.late > w.calm {
+		w.late -= (w.late - w.calm) * float64(every) / float64(within)
+	}
+}
+
+// shed tells whether the txn is to take nothing from the origin; once it is, it stays so.
+func (r *Router) shed(t *txn) bool {
+	if r.waits.late <= bearable*r.waits.calm {
+		return false
+	}
+	if t.luck == 0 {
+		t.luck = r.chance()
+	}
+	return t.luck*r.waits.late > bearable*r.waits.calm
+}
+
 // again follows a hop that ended without an answer.
 func (r *Router) again(t *txn) {
 	if t.pending() {
@@ -995,6 +1055,12 @@
 	if !mute && e.Code != "enoent" {
 		r.ended(t, h, e.Code == "done" && !r.overdue(t, h))
 	}
+	if h.kind == fills && !t.rule.write && e.Code == "done" && e.Note == 3 {
+		r.waits.note(r.now, float64(max(e.Waited, ms)), true)
+	} else if h.kind == fills && !t.rule.write && e.Note == 10 {
+		r.waits.fail()
+		t.luck = 1 // one call is enough of an origin that fails
+	}
 	if h.kind == fills && !t.rule.write && !mute {
 		r.failed = r.note(r.failed, e.Code != "done")
 	}
@@ -1021,6 +1087,9 @@
 		return
 	}
 	h.overdue = !timely
+	if h.kind == fills && !timely && h.out {
+		r.waits.note(r.now, float64(r.now-h.sent), false)
+	}
 	r.learn(&h.server.room[h.kind], timely)
 	if h.kind != looks && h.server.role == edge {
 		r.supplied(h.source, timely)
@@ -1040,6 +1109,8 @@
 		r.askAt = 0
 		r.do(Action{Kind: ActSubscribe})
 	}
+	const backIn = 3 * sec // a stopped origin is back after some seconds; they are not told
+	r.waits.ease(tickEvery, backIn)
 	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool { return r.now-p.at > r.purgeDone+ms })
 	for _, s := range r.order {
 		if s.health == down && r.now >= s.due {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -573,3 +573,118 @@
 		t.Fatalf("estimate %d, %d txns open", n, len(r.txns))
 	}
 }
+
+// fill asks for an object and ends its hop; it tells whether a fill was asked for.
+func fill(r *Router, n int, end Event) bool {
+	e := request("read")
+	e.Txn, e.Object = "f"+string(rune('a'+n%26))+string(rune('0'+n/26%10)), string(rune('a'+n%26))
+	for _, a := range r.Handle(r.now, e, nil) {
+		if a.Kind == ActGet && a.Source != a.Server && a.Mode&modeHeld == 0 {
+			end.Kind, end.Txn, end.Server, end.Final = EvAnswer, e.Txn, a.Server, end.Code == "done"
+			r.Handle(r.now, end, nil)
+			r.Handle(r.now, Event{Kind: EvAbandoned, Txn: e.Txn}, nil)
+			return true
+		}
+	}
+	r.Handle(r.now, Event{Kind: EvAbandoned, Txn: e.Txn}, nil)
+	return false
+}
+
+// Many routers that see few fills each once pushed a slow origin over: none of them had
+// enough late ones at any cache to cut a limit.
+func TestFillsAreLeftOutAsTheOriginSlows(t *testing.T) {
+	asked := func(r *Router, n int, end Event) (fills int) {
+		for i := range n {
+			r.now += 300 * ms
+			if fill(r, i, end) {
+				fills++
+			}
+		}
+		return fills
+	}
+	calm := Event{Code: "done", Note: 3, Waited: 100 * ms, RTT: 150 * ms}
+	slow := Event{Code: "done", Note: 3, Waited: 1600 * ms, RTT: 150 * ms}
+	r := router(nil)
+	if got := asked(r, 40, calm); got != 40 {
+		t.Fatalf("in calm %d of 40 fills", got)
+	}
+	for range 40 { // fills that are overdue while told waits are as ever: their caches are slow
+		r.waits.note(r.now, float64(2*sec), false)
+	}
+	if r.waits.late > bearable*r.waits.calm {
+		t.Error("overdue fills alone count as the origin's")
+	}
+	// Up to twice as long is bearable.
+	if got := asked(r, 40, Event{Code: "done", Note: 3, Waited: 180 * ms, RTT: 150 * ms}); got != 40 {
+		t.Errorf("at 1.8 times calm %d of 40 fills", got)
+	}
+	r = router(nil)
+	asked(r, 40, calm)
+	asked(r, 6, slow)
+	if got := asked(r, 100, slow); got > 40 {
+		t.Errorf("at sixteen times calm %d of 100 fills", got)
+	} else if got == 0 {
+		t.Error("nobody finds out when it is back")
+	}
+	asked(r, 60, calm)
+	if got := asked(r, 40, calm); got != 40 {
+		t.Errorf("back in calm %d of 40 fills", got)
+	}
+	// Where reasons are not told, nothing is left out.
+	r = router(nil)
+	asked(r, 10, Event{Code: "done", RTT: 150 * ms})
+	if got := asked(r, 40, Event{Code: "done", RTT: 150 * ms}); got != 40 {
+		t.Errorf("untold: %d of 40 fills", got)
+	}
+}
+
+// Each failure takes an origin farther from calm, a while without any brings it back,
+// and a txn that it failed asks it no more.
+func TestAFailingOriginIsAskedEverLess(t *testing.T) {
+	w := waits{}
+	w.fail()
+	if w.late != 0 {
+		t.Fatal("nothing was told, but it counts")
+	}
+	w.note(sec, 100, true)
+	w.fail()
+	first := w.late
+	for range 100 {
+		w.fail()
+	}
+	if first <= bearable*w.calm || w.late <= first || w.late > 64*w.calm {
+		t.Errorf("late %g after the first, %g after all", first, w.late)
+	}
+	for range int(20 * sec / tickEvery) {
+		w.ease(tickEvery, 3*sec)
+	}
+	if w.late > bearable*w.calm {
+		t.Errorf("late %g after 20 s", w.late)
+	}
+	r := router(nil)
+	fill(r, 1, Event{Code: "done", Note: 3, Waited: 100 * ms})
+	sent := only(t, r.Handle(r.now, request("read"), nil), ActGet)
+	for _, a := range r.Handle(r.now+ms, Event{Kind: EvAnswer, Txn: "t", Server: sent.Server, Code: "busy", Note: 10}, nil) {
+		if a.Kind == ActGet && a.Source != a.Server && a.Mode&modeHeld == 0 {
+			t.Errorf("asks the origin again: %+v", a)
+		}
+	}
+}
+
+// A new life once had a fresh share of cold budgets.
+func TestANewLifeHoldsBackForAWindow(t *testing.T) {
+	set := settings()
+	set.Siblings, set.Family.ZoneBalancers = 1, []int{0, 1}
+	r := New(set, 1)
+	list := entries()
+	list[0].Born, list[1].State = begin-sec, "left"
+	r.Handle(begin, Event{Kind: EvDiscovery, Scope: "disk", Entries: list}, nil)
+	if a := only(t, r.Handle(begin+sec/2, request("read"), nil), ActGet); a.Server == cacheA {
+		t.Error("a cold cache is sent to within the window")
+	}
+	e := request("read")
+	e.Txn = "later"
+	if a := only(t, r.Handle(begin+sec, e, nil), ActGet); a.Server != cacheA {
+		t.Errorf("after the window it goes to %s", a.Server)
+	}
+}
