--- a/internal/emulate/kept.go
+++ b/internal/emulate/kept.go
@@ -133,7 +133,10 @@
 func (k *Kept) gone(i, pid int) {
 	for k.ctx.Err() == nil {
 		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-		if _, state, ok := strings.Cut(string(stat), ") "); err != nil || !ok || state[0] == 'Z' || state[0] == 'X' {
+		_, state, ok := strings.Cut(string(stat), ") ")
+		// The first thread may have ended while others still hold the sockets open.
+		threads, _ := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+		if err != nil || !ok || len(threads) <= 1 && (state[0] == 'Z' || state[0] == 'X') {
 			break
 		}
 		time.Sleep(time.Millisecond)
