--- /dev/null
+++ b/cmd/quilldoor/build_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// The operators' bench loads a library into the router's process: the program that the
+// deploy file builds must name the C library as one that it needs.
+func TestTheBuiltRouterNeedsTheCLibrary(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := regexp.MustCompile(`(?m)^build = "(.*)"$`).FindSubmatch(text)
+	if line == nil {
+		t.Fatal("no build line")
+	}
+	out := t.TempDir()
+	build, found := strings.CutPrefix(string(line[1]), "mkdir -p bin && ")
+	build = strings.Replace(build, " -o bin/ ./cmd/...", " -o "+out+" ./cmd/quilldoor", 1)
+	if !found || !strings.Contains(build, out) {
+		t.Fatalf("the build line has another form: %s", line[1])
+	}
+	cmd := exec.Command("sh", "-c", build)
+	cmd.Dir = "../.."
+	if text, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	f, err := elf.Open(filepath.Join(out, "quilldoor"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	libs, err := f.ImportedLibraries()
+	if err != nil || !slices.ContainsFunc(libs, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		t.Errorf("needs %v, %v", libs, err)
+	}
+}
