Let reports of later states prolong an accepted gossip claim

What callers would see: a router whose discovery is late or cut off takes a restarted cache for an old one after seven seconds, and forgets its slow start.

Cause: an accepted claim was prolonged only by reports of the very same state. A later report was either turned away by mayOverride (a start that the own source's "gone" forbids to apply), or counted for the candidate alone. Where the other sources had moved on, the claim expired in favour of an older state.

At each expiry three or four other replicas held later states than the claim. States are ordered, so whoever reports a later one also says that the claim's state has been passed; that keeps the claim, however it may be used itself.

Both new tests fail before this change (StartedAt goes back to 0, a start is lost).

The same pattern was looked for in membership, gateway, rollout, discovery and upgradeagent (leases and deadlines renewed by equality): none. In gossip itself a candidate gives way to a later one and loses its first confirmation; that only delays what two routers report, and is left.

--- a/internal/gossip/claim.go
+++ b/internal/gossip/claim.go
@@ -43,13 +43,14 @@
 	// A new endpoint is taken from the own source only: where that one is unreachable nothing can be sent to the endpoint
 	// either, and its address may be another one for each router.
 	rec := r.endpoints[reported.ID]
-	if rec == nil || !r.mayOverride(rec, reported) {
+	if rec == nil {
 		return false
 	}
-	reported.Address = rec.local.Address
-	if r.confirmsAccepted(now, rec, reported) {
+	rec.accepted.prolong(now, reported)
+	if !r.mayOverride(rec, reported) || r.acceptedCovers(rec, reported) {
 		return false
 	}
+	reported.Address = rec.local.Address
 	if !r.updateCandidate(now, from, rec, reported) {
 		return false
 	}
@@ -82,17 +83,18 @@
 	return isLater(reported, rec.local)
 }
 
-// confirmsAccepted reports whether the accepted claim is as late as the report or later. A report of the same state
-// prolongs it.
-func (r *Replica) confirmsAccepted(now int64, rec *record, reported Endpoint) bool {
-	accepted := &rec.accepted
-	if !accepted.exists() || isLater(reported, accepted.Endpoint) || !r.guards(safeguardOrder) {
-		return false
-	}
-	if !isLater(accepted.Endpoint, reported) {
-		accepted.expiresAt = now + claimLifetime
+// prolong takes a report of the claim's state or a later one as one more report of the claim. A report need not be
+// usable as a claim itself: that the endpoint is active again tells that its earlier process has ended, even where only
+// the own source may say that it is active.
+func (c *claim) prolong(now int64, reported Endpoint) {
+	if c.exists() && !isLater(c.Endpoint, reported) {
+		c.expiresAt = now + claimLifetime
 	}
-	return true
+}
+
+// acceptedCovers reports whether the accepted claim is as late as the report or later.
+func (r *Replica) acceptedCovers(rec *record, reported Endpoint) bool {
+	return r.guards(safeguardOrder) && rec.accepted.exists() && !isLater(reported, rec.accepted.Endpoint)
 }
 
 // updateCandidate counts a report as a confirmation of the candidate, or makes it the candidate where it is later. It
