Keep a gossip claim while other routers no longer list its endpoint

Cause: routers forget an endpoint 120 s after its end, and a new process's list never has it. No one reports it then; the claim of the cut router expires and the old list of its own source counts again.

TestEndpointStaysGoneOnceOthersHaveForgottenIt failed at 129 s each time, TestEndpointStaysGoneOnceOthersHaveRestarted at the claim's end.

Why this works: a request names its accepted claims, an answer names those that the sender's complete list lacks, and that prolongs them. It confirms none, since that sender may be late with a new endpoint. Who reported a claim and has died still takes it along (TestEverySafeguardIsNeeded): the others list the endpoint, so they don't prolong it. Older programs skip the two new keys.

Looked for the same elsewhere: purges are kept for their own retention by all, and a new process asks two others for them; membership keeps failed members by its own timers, not by reports.

--- a/internal/gossip/claim.go
+++ b/internal/gossip/claim.go
@@ -46,7 +46,11 @@
 	if rec == nil {
 		return false
 	}
-	rec.accepted.prolong(now, reported)
+	// A report of a later state tells that the claim's has been passed, even where only the own source may say that the
+	// endpoint is active again.
+	if !isLater(rec.accepted.Endpoint, reported) {
+		rec.accepted.prolong(now)
+	}
 	if !r.mayOverride(rec, reported) || r.acceptedCovers(rec, reported) {
 		return false
 	}
@@ -83,11 +87,9 @@
 	return isLater(reported, rec.local)
 }
 
-// prolong takes a report of the claim's state or a later one as one more report of the claim. A report need not be
-// usable as a claim itself: that the endpoint is active again tells that its earlier process has ended, even where only
-// the own source may say that it is active.
-func (c *claim) prolong(now int64, reported Endpoint) {
-	if c.exists() && !isLater(c.Endpoint, reported) {
+// prolong starts the lifetime of the claim anew.
+func (c *claim) prolong(now int64) {
+	if c.exists() {
 		c.expiresAt = now + claimLifetime
 	}
 }
--- a/internal/gossip/doc.go
+++ b/internal/gossip/doc.go
@@ -9,8 +9,9 @@
 // state, and it never goes backwards.
 //
 // What others report of an endpoint beyond the own source is a claim. It is applied once two other routers report the
-// same (one, where fewer than two others are known), and holds for 7 s after the last report of it, or until the own
-// source catches up. Purges are applied at once, on one report.
+// same (one, where fewer than two others are known). It holds until the own source catches up, or for 7 s after another
+// router last reported the same state or a later one, or that its source does not list the endpoint. Purges are applied
+// at once, on one report.
 //
 // Replicas compare digests. The state is split into 16 buckets by a hash of the endpoint ids and purge keys, each with
 // a digest of its own; a replica whose digest differs asks for the buckets that differ and gets their content.
--- a/internal/gossip/exchange.go
+++ b/internal/gossip/exchange.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 
@@ -21,6 +22,8 @@
 	startupRequests = requiredConfirmations
 	// maxChunks bounds the messages of one response.
 	maxChunks = 12
+	// maxClaimedBytes bounds the endpoint ids in a request.
+	maxClaimedBytes = 800
 )
 
 // digest covers what replicas of an endpoint can differ in: its start and state.
@@ -119,7 +122,7 @@
 // NewRequest makes the request for what differs. The digests of buckets with claims are inverted, so that they always
 // differ and the claims are reported again.
 func (r *Replica) NewRequest() DigestRequest {
-	request := DigestRequest{Digests: slices.Clone(r.digests[:])}
+	request := DigestRequest{Digests: slices.Clone(r.digests[:]), Claimed: r.claimedIDs()}
 	for id, rec := range r.endpoints {
 		if rec.candidate.exists() || rec.accepted.exists() {
 			bucket := bucketOf(id)
@@ -129,9 +132,37 @@
 	return request
 }
 
+// claimedIDs returns the endpoints with accepted claims that fit into a request, the claim that expires first before
+// the others.
+func (r *Replica) claimedIDs() (ids []string) {
+	for _, id := range r.sortedIDs() {
+		if r.endpoints[id].accepted.exists() {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortStableFunc(ids, func(a, b string) int {
+		return cmp.Compare(r.endpoints[a].accepted.expiresAt, r.endpoints[b].accepted.expiresAt)
+	})
+	size := 0
+	for i, id := range ids {
+		size += reportedIDBytes(id)
+		if size > maxClaimedBytes {
+			return ids[:i]
+		}
+	}
+	return ids
+}
+
+// reportedIDBytes is the most that an endpoint id takes in a list of a message.
+func reportedIDBytes(id string) int {
+	const prefixBytes = 3
+	return prefixBytes + len(id)
+}
+
 // Respond returns what the own source has announced in the buckets that differ, in chunks of up to chunkBytes, 12 at
 // most: the next request brings the rest. Claims are not passed on, else routers without a source would confirm each
-// other's. Purges are, whoever announced them.
+// other's. Purges are, whoever announced them. Of the endpoints that the request claims, those that the own source does
+// not list are named.
 func (r *Replica) Respond(request *DigestRequest, chunkBytes int) []StateExchange {
 	if len(request.Digests) != digestBuckets {
 		r.Counts.Rejected++
@@ -140,6 +171,11 @@
 	r.Counts.Responses++
 	differs := func(bucket int) bool { return request.Digests[bucket] != r.digests[bucket] }
 	response := chunkedExchange{chunkBytes: chunkBytes}
+	for _, id := range request.Claimed {
+		if r.doesNotList(id) {
+			response.addUnlisted(id)
+		}
+	}
 	for _, id := range r.sortedIDs() {
 		if differs(bucketOf(id)) {
 			response.addEndpoint(r.endpoints[id].local)
@@ -152,6 +188,12 @@
 	return chunks[:min(len(chunks), maxChunks)]
 }
 
+// doesNotList reports whether the own source has announced all endpoints that exist, and not this one; it may have been
+// gone for so long that it is forgotten.
+func (r *Replica) doesNotList(id string) bool {
+	return r.listComplete && len(r.endpoints) < maxEndpoints && r.endpoints[id] == nil
+}
+
 // chunkedExchange collects a response in chunks.
 type chunkedExchange struct {
 	chunkBytes int
@@ -176,6 +218,11 @@
 	c.current.Endpoints = append(c.current.Endpoints, newEndpointReport(e))
 }
 
+func (c *chunkedExchange) addUnlisted(id string) {
+	c.reserve(reportedIDBytes(id))
+	c.current.Unlisted = append(c.current.Unlisted, id)
+}
+
 func (c *chunkedExchange) addPurge(key purgeKey, at int64) {
 	const fixedBytes = 20 // beside the text
 	c.reserve(fixedBytes + len(key.object))
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -67,6 +67,7 @@
 	digests            [digestBuckets]uint32
 	changedAt          int64 // when the own source or another router announced a change last
 	requestedAt        int64
+	listComplete       bool // the own source has announced all endpoints that exist
 	singleConfirmation bool
 }
 
@@ -124,6 +125,7 @@
 func (r *Replica) ApplyLocal(now int64, complete bool, list []Endpoint) []Endpoint {
 	r.changedAt = now
 	if complete {
+		r.listComplete = true
 		r.markMissingGone(now, list)
 	}
 	effective := make([]Endpoint, 0, len(list))
@@ -211,6 +213,13 @@
 			endpoints = append(endpoints, r.endpoints[e.ID].accepted.Endpoint)
 		}
 	}
+	// Another source that does not list an endpoint may have forgotten that it is gone, and may as well be late with a
+	// new one: that prolongs a claim, and confirms none.
+	for _, id := range report.Unlisted {
+		if rec := r.endpoints[id]; rec != nil {
+			rec.accepted.prolong(now)
+		}
+	}
 	if len(endpoints)+len(purges) > 0 {
 		r.changedAt = now
 		r.rebuildDigests()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -17,13 +17,15 @@
 
 // DigestRequest asks for the state of the buckets whose digests differ from these.
 type DigestRequest struct {
-	Digests []uint32 `cbor:"1,keyasint"` // one for each bucket; another number of them is rejected
+	Digests []uint32 `cbor:"1,keyasint"`           // one for each bucket; another number of them is rejected
+	Claimed []string `cbor:"2,keyasint,omitempty"` // endpoints of which the sender holds accepted claims
 }
 
 // StateExchange is a part of a response.
 type StateExchange struct {
 	Endpoints []EndpointReport `cbor:"1,keyasint,omitempty"`
 	Purges    []PurgeReport    `cbor:"2,keyasint,omitempty"`
+	Unlisted  []string         `cbor:"3,keyasint,omitempty"` // claimed endpoints that the sender's source does not list
 }
 
 // EndpointReport is an endpoint as the source of the sender has announced it.
