Judge slow start by what the routers knew, as rule 4 is worded

What callers saw: nothing new.

Cause: the checker counted each fall of a warming endpoint. The operators' rule is broken if two thirds of the work came from routers that were told of the start, or count as told.

Evidence: a trial that printed, for each fall, all work in the window with what its router had been told. The list tells of the outage only after the start, or not yet of the start.

Change: an entry for each piece of work at a warming endpoint, and the start in notifications; the checker sums both kinds itself. No slack is added, sizes count as they are, and a fall whose work is not in the log counts as before (the old case of the test stays).

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -65,6 +65,7 @@
 	for _, test := range cases {
 		checker := New(Settings{
 			AnswerSlack: 8 * ms, DrainGrace: 500 * ms, PurgeGrace: 300 * ms, NotificationDeadline: 7 * second,
+			OverloadWindow: second,
 			Classes: []policy.TrafficClass{
 				{Name: "read", Effect: policy.EffectIdempotent},
 				{Name: "sign", Effect: policy.EffectUnsafe, Write: true},
--- a/internal/checker/endpoints.go
+++ b/internal/checker/endpoints.go
@@ -8,18 +8,21 @@
 // listing is an endpoint's state as discovery tells it.
 type listing struct {
 	state      policy.EndpointState
+	startedAt  int64
 	notifiedBy int64 // every router counts as notified then
 }
 
 // notification is an endpoint's state as a router was notified of it.
 type notification struct {
-	state policy.EndpointState
-	at    int64
+	state     policy.EndpointState
+	startedAt int64
+	at        int64
 }
 
 func (c *Checker) endpointListed(entry *eventlog.Entry) {
 	c.listed[entry.Endpoint] = listing{
 		state:      policy.EndpointState(entry.State),
+		startedAt:  entry.StartedAt,
 		notifiedBy: max(entry.Until, entry.At) + c.settings.NotificationDeadline,
 	}
 }
@@ -33,7 +36,7 @@
 	if known && before.state != policy.EndpointActive && state != policy.EndpointActive {
 		return // it knew already that it drains: the earlier time counts
 	}
-	c.notified[entry.Router][entry.Endpoint] = notification{state, entry.At}
+	c.notified[entry.Router][entry.Endpoint] = notification{state, entry.StartedAt, entry.At}
 }
 
 // checkDraining judges rule 3.
--- a/internal/checker/routers.go
+++ b/internal/checker/routers.go
@@ -63,6 +63,6 @@
 func (c *Checker) routerUp(entry *eventlog.Entry) {
 	c.notified[entry.Router] = map[string]notification{}
 	for endpoint, listed := range c.listed {
-		c.notified[entry.Router][endpoint] = notification{listed.state, entry.At}
+		c.notified[entry.Router][endpoint] = notification{listed.state, listed.startedAt, entry.At}
 	}
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -17,6 +17,7 @@
 	MaxDelay    int64                  `json:"Late"` // on sockets: the emulator's longest delay, in microseconds
 
 	Cost               Cost     // on sockets: what the router processes used
+	LateNotices        int      `json:",omitempty"` // endpoints that fell over before routers were notified of their start
 	Excused            int      // requests due while their router was suspended, or whose process was killed
 	BrokenConnections  int      `json:"Broke"`   // on sockets: those that ended without an answer, not by their client
 	RefusedConnections int      `json:"Refused"` // on sockets: those that routers did not accept
@@ -45,5 +46,6 @@
 		DrainGrace:           int64(fleet.DrainGraceMS * microsPerMilli),
 		PurgeGrace:           int64(fleet.PurgeGraceMS * microsPerMilli),
 		NotificationDeadline: notificationMicros,
+		OverloadWindow:       int64(fleet.OverloadMS * microsPerMilli),
 	}
 }
--- a/internal/emulator/sockets.go
+++ b/internal/emulator/sockets.go
@@ -221,6 +221,7 @@
 		CountByRule:        s.checker.CountByRule,
 		Judged:             s.checker.Checked,
 		MaxDelay:           s.maxDelay,
+		LateNotices:        s.checker.LateNotices,
 		Excused:            s.checker.Excused,
 		Cost:               s.cost,
 		BrokenConnections:  s.brokenConns,
--- a/internal/emulator/virtual.go
+++ b/internal/emulator/virtual.go
@@ -156,6 +156,7 @@
 		Violations:  v.checker.Violations,
 		CountByRule: v.checker.CountByRule,
 		Judged:      v.checker.Checked,
+		LateNotices: v.checker.LateNotices,
 		Excused:     v.checker.Excused,
 	}
 	if v.fleet != nil {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -33,7 +33,8 @@
 const (
 	KindStarted         Kind = "started" // an endpoint
 	KindDown            Kind = "down"
-	KindOverloaded      Kind = "fell" // a warming endpoint got more than it bears
+	KindWarmingWork     Kind = "warming" // work of an attempt has reached an endpoint that warms up
+	KindOverloaded      Kind = "fell"    // a warming endpoint got more than it bears
 	KindStopped         Kind = "stopped"
 	KindRouterDown      Kind = "router_down"
 	KindRouterUp        Kind = "router_up"
@@ -61,4 +62,6 @@
 	Issued   int64   `json:",omitempty"`
 	Until    int64   `json:",omitempty"`
 	Work     float64 `json:",omitempty"` // seconds
+
+	StartedAt int64 `json:",omitempty"` // of the endpoint that is listed; 0: before the run
 }
--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -107,7 +107,7 @@
 	s.record(attempt.entry(eventlog.KindArrived))
 	attempt.index = len(server.attempts)
 	server.attempts = append(server.attempts, attempt)
-	if server.recordWork(s.flowTime(attempt.SizeKB)) {
+	if server.recordWork(attempt) {
 		server.collapse()
 		return
 	}
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -27,7 +27,10 @@
 func (s *Simulation) setListed(server *server, state policy.EndpointState, delay int64) {
 	server.listed = state
 	endpoint := server.endpoint()
-	s.record(Entry{Kind: eventlog.KindListed, Endpoint: server.id, State: string(state), Until: s.now + delay})
+	s.record(Entry{
+		Kind: eventlog.KindListed, Endpoint: server.id, State: string(state), StartedAt: endpoint.StartedAt,
+		Until: s.now + delay,
+	})
 	s.schedule(delay, func() { s.announce(DiscoveryEvent{Endpoints: []policy.Endpoint{endpoint}}) })
 }
 
@@ -53,7 +56,7 @@
 	for _, endpoint := range event.Endpoints {
 		s.record(Entry{
 			Kind: eventlog.KindNotified, Router: router.id,
-			Endpoint: endpoint.ID, State: string(endpoint.State),
+			Endpoint: endpoint.ID, State: string(endpoint.State), StartedAt: endpoint.StartedAt,
 		})
 	}
 	if event.Purge {
--- a/internal/simulation/fill.go
+++ b/internal/simulation/fill.go
@@ -74,7 +74,7 @@
 	case !source.up:
 		failLater(policy.ReasonUpstreamDown)
 		return
-	case source.kind != kindOrigin && source.recordWork(sim.flowTime(attempt.SizeKB)):
+	case source.kind != kindOrigin && source.recordWork(attempt):
 		source.collapse()
 		failLater(policy.ReasonUpstreamDown)
 		return
