Keep what a suspended router still has in the checker

What callers saw: nothing, they had left. The search reported rule 1 ("an answer to nothing that was taken") where routers are suspended for long.

Cause: the checker forgets a request ten seconds after its end; a router that is suspended for longer ends the request as it resumes.

No request was lost and none answered twice.

Change: requests of a router that was suspended within the retention are kept. A second answer is still caught, with a case for it. Looked at for the same: forwarded requests go with their first router's; notifications and purges are kept until a router dies.

--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -98,6 +98,14 @@
 		{"two answers", 1, []*eventlog.Entry{
 			taken("read"), answered(5, "rejected", 0), answered(6, "rejected", 0),
 		}},
+		{"suspended for long after the client left", 0, []*eventlog.Entry{
+			taken("read"), suspended(500), entry(1050, eventlog.KindLeft, eventlog.Entry{}),
+			started(12000), started(16000), resumed(21000), answered(21001, "aborted", 0),
+		}},
+		{"a second answer after a long suspension", 1, []*eventlog.Entry{
+			taken("read"), answered(5, "rejected", 0), suspended(500), started(12000), resumed(21000),
+			answered(21001, "rejected", 0),
+		}},
 		{"late by the slack", 0, []*eventlog.Entry{taken("read"), answered(1008, "aborted", 0)}},
 		{"too late", 1, []*eventlog.Entry{taken("read"), answered(1009, "aborted", 0)}},
 		{"none", 1, []*eventlog.Entry{taken("read"), entry(1010, eventlog.KindLeft, eventlog.Entry{})}},
--- a/internal/checker/requests.go
+++ b/internal/checker/requests.go
@@ -181,10 +181,15 @@
 // that begins after the first.
 const endedRetention = 10 * second
 
-// forgetEnded forgets requests that ended some time ago.
+// forgetEnded forgets requests that ended some time ago. A router that was suspended meanwhile
+// still has them, and ends them once it has resumed.
 func (c *Checker) forgetEnded() {
 	for len(c.ended) > 0 && c.ended[0].at < c.now-endedRetention {
 		id := c.ended[0].id
+		if c.suspendedSince(id.router, c.now-endedRetention) {
+			c.ended = append(c.ended[1:], endedRequest{id, c.now})
+			continue
+		}
 		request := c.requests[id]
 		if request == nil {
 			request = c.ofDeadRouters[id]
--- a/internal/checker/routers.go
+++ b/internal/checker/routers.go
@@ -17,6 +17,12 @@
 	return known && at >= last.from && (last.until == 0 || at <= last.until+resumeGrace)
 }
 
+// suspendedSince tells whether a router was suspended at a time or later.
+func (c *Checker) suspendedSince(router int, at int64) bool {
+	last, known := c.suspensions[router]
+	return known && (last.until == 0 || last.until >= at)
+}
+
 // knownAt is when a router could know what came at a time: what came while it was suspended
 // is known once it has resumed.
 func (c *Checker) knownAt(router int, at int64) int64 {
