Take a purge with an empty object for that of its group

Cause: an empty "asset" counted as an object. Without a name it means the group further on, and the group had stayed 0.

Evidence: TestPurgeWithAnEmptyObjectIsOfItsGroup failed before: collection 17 was told as group 0, and a purge of nothing passed.

Change: an empty asset names nothing; a purge that then names neither object nor group is refused as before without both keys. Looked at for the same: gossip and the gateway name a group by an empty object on purpose, and carry the group beside it; the disk cache and the policy take both.

--- a/internal/discovery/update.go
+++ b/internal/discovery/update.go
@@ -36,6 +36,9 @@
 	UnixMillis int64   `json:"MS"`
 }
 
+// namesObject reports whether the purge is of an object. An empty name is none.
+func (p *purge) namesObject() bool { return p.Object != nil && *p.Object != "" }
+
 type endpoint struct {
 	ID            string  `json:"UID"`
 	Address       string  `json:"Endpoint"`
@@ -71,7 +74,7 @@
 }
 
 func (e *event) validate() error {
-	if e.Purge != nil && e.Purge.Object == nil && e.Purge.Group == nil {
+	if e.Purge != nil && !e.Purge.namesObject() && e.Purge.Group == nil {
 		return errors.New("flush without asset or collection")
 	}
 	if e.Endpoints == nil {
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -95,7 +95,7 @@
 func (w *Watcher) applyPurge(purge *purge) {
 	var object string
 	var group int64
-	if purge.Object != nil {
+	if purge.namesObject() {
 		object = *purge.Object
 	} else {
 		group = *purge.Group
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -153,3 +154,35 @@
 	)
 	events.expect(t, "lost", "back", `purge "x" 0 5000`)
 }
+
+// applyAll applies updates to a watcher, and returns what its handler is told.
+func applyAll(t *testing.T, texts ...string) []string {
+	t.Helper()
+	events := make(recorder, 20)
+	watcher := New(&config.Limits{}, events)
+	for _, text := range texts {
+		update, err := Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		watcher.Apply(update)
+	}
+	close(events)
+	var told []string
+	for line := range events {
+		told = append(told, line)
+	}
+	return told
+}
+
+// Guards against the purge of a group being taken for that of group 0, since the update
+// names an empty object beside it.
+func TestPurgeWithAnEmptyObjectIsOfItsGroup(t *testing.T) {
+	told := applyAll(t, `{"rev":1,"notices":[{"rev":1,"flush":{"asset":"","collection":17,"ms":6}}]}`)
+	if want := []string{`purge "" 17 6000`}; !slices.Equal(told, want) {
+		t.Errorf("%q, want %q", told, want)
+	}
+	if _, err := Parse([]byte(`{"rev":1,"notices":[{"rev":1,"flush":{"asset":"","ms":6}}]}`)); err == nil {
+		t.Error("a purge of nothing passes")
+	}
+}
