Follow discovery's events when the service numbers them anew

Cause: events not above the last number were passed over, and the polls went on asking behind that number.

Evidence: TestEventsNumberedAnewAreFollowed and TestRunAsksForEventsNumberedAnew failed before: the gap was told, and none of the new events.

Change: a service whose number is lower than the last one has begun anew. All its events are asked for, and the list that they come to is applied at once, so that an endpoint that drains is not active on the way. Looked at for the same: the supervisor's observer uses this watcher; Resume of the other generation's state ends the waiting.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -33,6 +33,8 @@
 	gapAt     int64                      // the last revision that was reported as a gap without an event
 	address   string
 	conn      *pollConn // nil: none is open
+
+	numberedAnew bool // the service has begun its numbers anew, and its first event is still to come
 }
 
 // New makes a watcher that knows nothing yet.
@@ -41,8 +43,23 @@
 }
 
 // Apply hands the events that are new in an update to the handler: those whose revision
-// is above the last one.
+// is above the last one. A service whose revision is lower has begun its numbers anew:
+// its events are followed from the first one on, which the next poll brings if this
+// update does not.
 func (w *Watcher) Apply(update *Update) {
+	if update.Revision > 0 && update.Revision < w.revision {
+		w.revision = 0
+		w.gapAt = 0
+		w.numberedAnew = true
+		w.handler.DiscoveryGap()
+		if len(update.Events) > 0 && update.Events[0].Revision > 1 {
+			return // it answers the poll behind the old numbers
+		}
+	}
+	if w.numberedAnew {
+		w.applyNumberedAnew(update)
+		return
+	}
 	gap := false
 	for _, event := range update.Events {
 		if event.Revision <= w.revision {
@@ -68,6 +85,29 @@
 	}
 }
 
+// applyNumberedAnew takes the history of a service that has begun its numbers anew. The
+// handler gets the list that it comes to, at once: on the way there endpoints that drain
+// would be active again.
+func (w *Watcher) applyNumberedAnew(update *Update) {
+	if len(update.Events) == 0 {
+		return
+	}
+	w.numberedAnew = false
+	for _, event := range update.Events {
+		w.revision = event.Revision
+		if event.Endpoints != nil {
+			w.updateList(event.Endpoints, event.Endpoints.Whole)
+		}
+		if event.Purge != nil {
+			w.applyPurge(event.Purge)
+		}
+	}
+	w.revision = max(w.revision, update.Revision)
+	w.listed = true
+	_, list := w.Snapshot()
+	w.handler.EndpointsChanged(policy.ScopeSnapshot, list)
+}
+
 func (w *Watcher) applyEndpoints(change *endpointChange) {
 	scope := policy.ScopeDiff
 	switch {
@@ -77,10 +117,14 @@
 		scope = policy.ScopeSnapshot
 	}
 	w.listed = true
-	if scope != policy.ScopeDiff {
+	w.handler.EndpointsChanged(scope, w.updateList(change, scope != policy.ScopeDiff))
+}
+
+// updateList takes a change into the list, or in place of it, and returns its entries.
+func (w *Watcher) updateList(change *endpointChange, replace bool) (list []engine.Endpoint) {
+	if replace {
 		clear(w.endpoints)
 	}
-	var list []engine.Endpoint
 	for _, entry := range change.Entries {
 		endpoint := entry.engineEndpoint()
 		list = append(list, endpoint)
@@ -89,7 +133,7 @@
 			delete(w.endpoints, endpoint.ID)
 		}
 	}
-	w.handler.EndpointsChanged(scope, list)
+	return list
 }
 
 func (w *Watcher) applyPurge(purge *purge) {
@@ -121,6 +165,7 @@
 		w.revision = revision
 		w.listed = true
 		w.gapAt = 0
+		w.numberedAnew = false
 		clear(w.endpoints)
 		for _, endpoint := range list {
 			w.endpoints[endpoint.ID] = endpoint
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -175,6 +175,47 @@
 	return told
 }
 
+// Guards against drains and purges that are dropped for good once a restarted service
+// numbers its events anew, and against drained endpoints that are active again meanwhile.
+func TestEventsNumberedAnewAreFollowed(t *testing.T) {
+	const before = `{"rev":40,"notices":[{"rev":40,"pool":{"all":true,"targets":[
+		{"uid":"a","endpoint":"1.1.1.1:1","state":"draining"}]}}]}`
+	const history = `{"rev":3,"notices":[{"rev":1,"pool":{"all":true,"targets":[
+		{"uid":"a","endpoint":"1.1.1.1:1","state":"ready"},{"uid":"b","endpoint":"1.1.1.1:2","state":"ready"}]}},
+		{"rev":2,"pool":{"targets":[{"uid":"a","endpoint":"1.1.1.1:1","state":"draining"}]}},
+		{"rev":3,"flush":{"asset":"x","ms":5}}]}`
+	const after = `{"rev":4,"notices":[{"rev":4,"flush":{"collection":9,"ms":7}}]}`
+	want := []string{
+		"disk a@1.1.1.1:1:leaving:0", "gap", `purge "x" 0 5000`, "snapshot a@1.1.1.1:1:leaving:0 b@1.1.1.1:2:active:0",
+		`purge "" 9 7000`,
+	}
+	for name, texts := range map[string][]string{
+		"with its history": {before, history, after},
+		"history later":    {before, `{"rev":3,"notices":[]}`, history, after},
+	} {
+		if told := applyAll(t, texts...); !slices.Equal(told, want) {
+			t.Errorf("%s: %q, want %q", name, told, want)
+		}
+	}
+}
+
+// A service that begins its numbers anew is asked for all of its events.
+func TestRunAsksForEventsNumberedAnew(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+	events, targets := runAgainst(t,
+		head+`{"rev":8,"notices":[{"rev":8,"flush":{"asset":"x","ms":5}}]}`,
+		head+`{"rev":2,"notices":[]}`,
+		head+`{"rev":2,"notices":[{"rev":1,"pool":{"all":true,"targets":[]}},{"rev":2,"flush":{"asset":"y","ms":6}}]}`,
+		"",
+	)
+	events.expect(t, `purge "x" 0 5000`, "gap", `purge "y" 0 6000`)
+	for _, watch := range []int{0, 8, 0, 2} {
+		if got, want := <-targets, fmt.Sprintf("/board/poll?watch=%d&linger=1000", watch); got != want {
+			t.Fatalf("%s, want %s", got, want)
+		}
+	}
+}
+
 // Guards against the purge of a group being taken for that of group 0, since the update
 // names an empty object beside it.
 func TestPurgeWithAnEmptyObjectIsOfItsGroup(t *testing.T) {
