Remember by index which attempt of a keyed request may have run first

Cause: firstExecuted looked for the attempt that was sent at firstSentAt. One that was withdrawn in the same microsecond has the same time and comes first, so its cell was taken for the one where the key is known.

Evidence: TestKeyedRetryStaysInTheCellOfTheFirstExecutedAttempt failed before: sent to the withdrawn attempt's cache. The index can't be taken for another.

Looked at for the same: other uses of sentAt (deadline.go, lost) compare durations, none finds an attempt by its time.

--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -110,7 +110,7 @@
 
 // send sends an attempt.
 func (r *Router) send(req *request, p *plan) {
-	r.startDedupWindow(req)
+	req.startDedupWindow()
 	sendBefore := req.dedupWindowEnd()
 	req.attempts = append(req.attempts, attempt{
 		endpoint: p.target, source: p.source, sentAt: r.now, kind: p.kind, inFlight: true,
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -34,7 +34,7 @@
 	retryAt       int64       // when the next attempt is due; 0: none is
 	fallback      attemptKind // the kind that spares the origin which avoidOverload tried last; attemptFill: none yet
 	admissionDraw float64     // drawn once, against load shedding; 0: not yet
-	firstSentAt   int64       // when the first attempt that may have been executed was sent
+	firstExecuted int         // the index of the first attempt that may have been executed
 	attempts      []attempt
 	failed        []*endpoint // endpoints and sources that failed it
 }
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -1,7 +1,5 @@
 package policy
 
-import "slices"
-
 // idempotency says what a second execution of a request does, and where repeats are recognized.
 type idempotency uint8
 
@@ -50,24 +48,18 @@
 		return true
 	}
 	rule := &retryRules[req.class.idempotency]
-	first := req.firstExecuted()
+	first := &req.attempts[req.firstExecuted]
 	return rule.retry &&
-		(!rule.windowed || r.now-req.firstSentAt < req.class.dedupWindow) &&
-		(!rule.sameZone || ep.zone == first.zone) &&
-		(!rule.sameCell || ep.cell == first.cell)
-}
-
-// firstExecuted is the endpoint of the first attempt that may have been executed.
-func (req *request) firstExecuted() *endpoint {
-	i := slices.IndexFunc(req.attempts, func(a attempt) bool { return a.sentAt == req.firstSentAt })
-	return req.attempts[i].endpoint
+		(!rule.windowed || r.now-first.sentAt < req.class.dedupWindow) &&
+		(!rule.sameZone || ep.zone == first.endpoint.zone) &&
+		(!rule.sameCell || ep.cell == first.endpoint.cell)
 }
 
-// startDedupWindow lets the request's dedup window run from now, as an attempt is sent, unless an earlier attempt may
-// have been executed.
-func (r *Router) startDedupWindow(req *request) {
+// startDedupWindow lets the request's dedup window run from the attempt that is about to be sent, unless an earlier
+// attempt may have been executed.
+func (req *request) startDedupWindow() {
 	if !req.maybeExecuted() {
-		req.firstSentAt = r.now
+		req.firstExecuted = len(req.attempts)
 	}
 }
 
@@ -76,7 +68,7 @@
 	if !req.maybeExecuted() || !retryRules[req.class.idempotency].windowed {
 		return 0
 	}
-	return req.firstSentAt + req.class.dedupWindow
+	return req.attempts[req.firstExecuted].sentAt + req.class.dedupWindow
 }
 
 // maxReadAttempts bounds the attempts of a read: one or two elsewhere may find what the first lacks, more only
--- a/internal/policy/retry_test.go
+++ b/internal/policy/retry_test.go
@@ -87,3 +87,31 @@
 	actions := r.Handle(begin+3*second-100*millisecond, attemptEnded(sent.Endpoint, OutcomeBusy), nil)
 	onlyAction(t, actions, ActionReject)
 }
+
+// Guards against a keyed request being sent in another cell, where a second execution is not recognized: an attempt
+// that was never executed does not say where the key is known, though it was sent at the same time.
+func TestKeyedRetryStaysInTheCellOfTheFirstExecutedAttempt(t *testing.T) {
+	r := New(testSettingsWithCells(), 1)
+	list := testEndpoints()
+	list[0].Cell, list[1].Cell = 1, 2
+	r.Handle(begin, Event{Kind: EventEndpoints, Scope: ScopeSnapshot, Endpoints: list}, nil)
+	skipped := onlyAction(t, r.Handle(begin, newRequest("zoned"), nil), ActionSend)
+	executed := onlyAction(t, r.Handle(begin, attemptEnded(skipped.Endpoint, OutcomeSkipped), nil), ActionSend)
+	if executed.Endpoint == skipped.Endpoint {
+		t.Fatal("both attempts go to the same cache")
+	}
+	end := attemptEnded(executed.Endpoint, OutcomeTimeout)
+	end.Attempt = 1
+	for _, a := range r.Handle(begin+100*millisecond, end, nil) {
+		if a.Kind == ActionSend && a.Endpoint != executed.Endpoint {
+			t.Errorf("sent to %s after an attempt at %s that may have been executed", a.Endpoint, executed.Endpoint)
+		}
+	}
+}
+
+// testSettingsWithCells has idempotency keys that the endpoints of a cell share.
+func testSettingsWithCells() Settings {
+	set := testSettings()
+	set.Classes[2].DedupGroup = DedupGroupCell
+	return set
+}
