Leave limits alone where an attempt was never sent

What callers would see: requests rejected at caches that have the capacity, after a burst of attempts that were withdrawn before they were written.

Cause: the end of a withdrawn attempt was taken for one that was not in time, for the concurrency limit and for the share of fills that fail.

Evidence: TestSkippedAttemptsLeaveTheLimitAlone failed before: 40 withdrawn attempts took the limit from 150 to 2. What was not sent can't have met the endpoint, so its end says nothing of it.

Looked at for the same: canceled and reset attempts are left out already; observe takes no signal from a withdrawn one.

--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -205,11 +205,11 @@
 	}
 }
 
-// showsCapacity reports whether an attempt's end shows anything of its endpoint's capacity. A reset does not; nor,
-// where reasons are given, does an error without one.
+// showsCapacity reports whether an attempt's end shows anything of its endpoint's capacity. That of one that was never
+// sent does not, nor a reset; nor, where reasons are given, an error without one.
 func (r *Router) showsCapacity(e *Event) bool {
 	switch e.Outcome {
-	case OutcomeCanceled, OutcomeConnectionReset:
+	case OutcomeCanceled, OutcomeConnectionReset, OutcomeSkipped:
 		return false
 	case OutcomeError:
 		return e.Reason != ReasonNone || !r.config.reasonsGiven
--- a/internal/policy/retry_test.go
+++ b/internal/policy/retry_test.go
@@ -115,3 +115,22 @@
 	set.Classes[2].DedupGroup = DedupGroupCell
 	return set
 }
+
+// Guards against limits that fall by attempts that were never sent: their end says nothing of the endpoint.
+func TestSkippedAttemptsLeaveTheLimitAlone(t *testing.T) {
+	r := newRouter(nil)
+	for _, id := range []string{cacheA, cacheB} {
+		r.endpoints[id].limiters[attemptFill].limit = 150
+	}
+	for i := range int64(40) {
+		at := begin + i*100*millisecond
+		sent := onlyAction(t, r.Handle(at, newRequest("read"), nil), ActionSend)
+		r.Handle(at, attemptEnded(sent.Endpoint, OutcomeSkipped), nil)
+		r.Handle(at, Event{Kind: EventClientGone, Request: "t"}, nil)
+	}
+	for _, id := range []string{cacheA, cacheB} {
+		if limit := r.endpoints[id].limiters[attemptFill].limit; limit < 150 {
+			t.Errorf("%s: the limit falls to %v", id, limit)
+		}
+	}
+}
