Begin no hedge beyond the attempts that a read may have

What callers would see: a read is rejected while its fourth attempt is still in flight, to a cache that was ejected meanwhile.

Cause: hedge looked at the settings' bound on attempts, startAttempt at the lower one for reads, and it rejects a request that has none left.

Evidence: TestReadWithoutAnAttemptLeftWaitsForTheOneInFlight failed before: rejected with an attempt in flight. With one bound for both no hedge begins.

A client whose rejected read comes again at once was sometimes served sooner; it is a rule of ours all the same that an attempt in flight may answer.

--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -141,9 +141,9 @@
 	}
 }
 
-// hedge sends another attempt beside the one in flight, if a cache is left for it.
+// hedge sends another attempt beside the one in flight, if an attempt and a cache are left for it.
 func (r *Router) hedge(req *request) {
-	if len(req.attempts) < r.config.maxAttempts && r.selectEndpoint(req, roleCache, nil) != nil {
+	if len(req.attempts) < r.maxAttempts(req) && r.selectEndpoint(req, roleCache, nil) != nil {
 		r.startAttempt(req)
 	}
 }
--- a/internal/policy/retry_test.go
+++ b/internal/policy/retry_test.go
@@ -116,6 +116,24 @@
 	return set
 }
 
+// Guards against a read that is rejected while its attempt is in flight: a hedge beyond the attempts that a read may
+// have ended the request instead of leaving it to that attempt.
+func TestReadWithoutAnAttemptLeftWaitsForTheOneInFlight(t *testing.T) {
+	r := newRouter(nil)
+	sent := onlyAction(t, r.Handle(begin, newRequest("read"), nil), ActionSend)
+	now := begin
+	for i := range maxReadAttempts - 1 {
+		now += millisecond
+		end := attemptEnded(sent.Endpoint, OutcomeError)
+		end.Attempt = i
+		sent = onlyAction(t, r.Handle(now, end, nil), ActionSend)
+	}
+	r.now = now + millisecond
+	r.endpoints[sent.Endpoint].health = suspect
+	r.observe(r.endpoints[sent.Endpoint], signalFailed)
+	noAction(t, r.Handle(now+second/2, Event{Kind: EventTimer, Token: 1}, nil), ActionReject, ActionFail)
+}
+
 // Guards against limits that fall by attempts that were never sent: their end says nothing of the endpoint.
 func TestSkippedAttemptsLeaveTheLimitAlone(t *testing.T) {
 	r := newRouter(nil)
