--- a/internal/simulation/server.go
+++ b/internal/simulation/server.go
@@ -40,6 +40,7 @@
 	up           bool
 	silent       bool                 // while down: it does not even reset connections
 	collapsed    bool                 // was overloaded while it warmed up and stays down
+	replaced     bool                 // a successor has its place, and it stays down
 	listed       policy.EndpointState // as discovery will tell it
 	startedAt    int64                // 0: before the run
 	activePauses int                  // pauses in force
--- a/internal/simulation/server_faults.go
+++ b/internal/simulation/server_faults.go
@@ -85,10 +85,10 @@
 	return func() { s.bringBack(servers) }
 }
 
-// bringBack starts servers that are down, except those that collapsed.
+// bringBack starts servers that are down, except those that collapsed or were replaced.
 func (s *Simulation) bringBack(servers []*server) {
 	for _, server := range servers {
-		if server.up || server.collapsed {
+		if server.up || server.collapsed || server.replaced {
 			continue
 		}
 		server.start()
@@ -157,6 +157,7 @@
 	if index < 0 {
 		return // it was replaced meanwhile
 	}
+	server.replaced = true
 	successor := s.newCache(server.office, fmt.Sprintf("%s.%d", server.id, s.sequence))
 	successor.up = false
 	s.caches[server.office][index] = successor
