Let emulated fills be joined only for a copy that is fresh enough

Cause: serveMiss (cache) and fetch (parent) joined any fill in flight.

Mend: until the source has replied the issue time is unknown and any request joins; at the reply those for which the copy is too old leave the fill and are served as misses. Later ones join only if it is fresh enough. Looked at for the same fault: a cache as the source of another cache's fill checked purges but not the age, it does now; a fill that has been replaced as the one to join no longer completes after its cache crashed.

--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -23,14 +23,15 @@
 	Write         bool
 	DriverData    any // for the driver; the simulation does not read it
 
-	target     *server // nil: no such server
-	fillSource *server // nil: no fill
-	objectID   int64
-	state      attemptState
-	index      int   // in target.attempts
-	job        *job  // its work in progress, if any
-	fill       *fill // the fill that it waits for, if any
-	latency    int64 // one-way network latency between router and server, microseconds
+	target         *server // nil: no such server
+	fillSource     *server // nil: no fill
+	objectID       int64
+	state          attemptState
+	index          int   // in target.attempts
+	job            *job  // its work in progress, if any
+	fill           *fill // the fill that it waits for, if any
+	earliestIssued int64 // at a cache, once it has a slot: copies issued earlier are too old for it
+	latency        int64 // one-way network latency between router and server, microseconds
 }
 
 // attemptState is the state of an attempt at its server.
--- a/internal/simulation/cache.go
+++ b/internal/simulation/cache.go
@@ -64,10 +64,10 @@
 	attempt.state = attemptWorking
 	s.busySlots++
 	key := partKey(attempt.objectID, attempt.Part)
-	maxAge := sim.maxAge(attempt)
+	attempt.earliestIssued = sim.now - sim.maxAge(attempt)
 	s.reportServed++
 	cached := s.lookup(attempt, key)
-	if cached == nil || sim.now-cached.issuedAt > maxAge {
+	if cached == nil || cached.issuedAt < attempt.earliestIssued {
 		s.serveMiss(attempt, key)
 		return
 	}
@@ -79,14 +79,14 @@
 	s.sendCopy(attempt, reason, cached.issuedAt, 0)
 }
 
-// serveMiss joins an attempt to a fill in flight or begins a fill for it. If neither is possible, the attempt ends at
-// once.
+// serveMiss joins an attempt to a fill in flight whose copy may be fresh enough for it, or begins a fill for it. If
+// neither is possible, the attempt ends at once.
 func (s *server) serveMiss(attempt *Attempt, key int64) {
 	fleet := &s.simulation.scenario.Fleet
 	switch {
 	case attempt.fillSource == nil || attempt.fillSource == s:
 		s.finish(attempt, AttemptResult{Outcome: policy.OutcomeMiss, Reason: policy.ReasonNoFill})
-	case attempt.FillMode&policy.FillWaitFor != 0 && s.fills[key] != nil:
+	case attempt.FillMode&policy.FillWaitFor != 0 && s.fills[key].mayServe(attempt):
 		s.fills[key].join(attempt)
 	case s.fillCount >= fleet.FillsPerCore*fleet.Cores:
 		s.finish(attempt, AttemptResult{Outcome: policy.OutcomeBusy})
--- a/internal/simulation/fill.go
+++ b/internal/simulation/fill.go
@@ -7,21 +7,33 @@
 )
 
 // fill is a fetch of one part into a server. At a cache, attempts wait for it; at a parent, callers of fetch do.
+//
+// An attempt joins a fill only for a copy that is fresh enough for it. The issue time of the copy is unknown until the
+// source has replied. Until then any attempt joins; at the reply, those for which the copy is too old leave the fill
+// and are served as if they had arrived then.
 type fill struct {
 	server       *server // the server that stores the part
 	incarnation  int64   // of the server when the fill began
 	key          int64
 	priority     int // cache priority of the copy; 0: it is not stored
 	attempts     []*Attempt
-	waiters      []func() // at a parent: called when the fill ends, one for each fetch that joined it
+	waiters      []fetchWaiter // at a parent: the fetches that joined it
 	transfers    []*job
 	pendingSteps int // transfers and the minimum transfer time that are still to finish
 	startedAt    int64
-	issuedAt     int64
+	replied      bool  // the source has replied, and issuedAt is known
+	issuedAt     int64 // of the copy
 	reason       policy.Reason
 	closed       bool // completed or cancelled
 }
 
+// fetchWaiter is a fetch of a parent that waits for a fill in flight.
+type fetchWaiter struct {
+	attempt        *Attempt
+	earliestIssued int64 // copies issued earlier are too old for it
+	done           fillDone
+}
+
 // fillDone receives the reply of a source to a fill: the issue time of its copy, or a reason for which fillFailed
 // returns true.
 type fillDone func(issuedAt int64, reason policy.Reason)
@@ -29,7 +41,8 @@
 // fillFailed reports whether a source's reason means that the source supplies no copy.
 func fillFailed(reason policy.Reason) bool { return reason >= policy.ReasonUpstreamBusy }
 
-// beginFill starts a fill for an attempt. Later attempts may join it unless another fill of the part is in flight.
+// beginFill starts a fill for an attempt. Later attempts may join it unless another fill of the part is in flight that is
+// fresh enough for this one.
 func (s *server) beginFill(attempt *Attempt, key int64) {
 	newFill := &fill{
 		server: s, incarnation: s.incarnation, key: key, priority: attempt.CachePriority, attempts: []*Attempt{attempt},
@@ -37,12 +50,17 @@
 	}
 	attempt.fill = newFill
 	s.fillCount++
-	if s.fills[key] == nil {
+	if !s.fills[key].mayServe(attempt) {
 		s.fills[key] = newFill
 	}
 	newFill.start(attempt)
 }
 
+// mayServe reports whether there is a fill whose copy may be fresh enough for an attempt.
+func (f *fill) mayServe(attempt *Attempt) bool {
+	return f != nil && (!f.replied || f.issuedAt >= attempt.earliestIssued)
+}
+
 // join adds an attempt to a fill in flight.
 func (f *fill) join(attempt *Attempt) {
 	f.priority = max(f.priority, attempt.CachePriority)
@@ -100,10 +118,15 @@
 	if f.closed || f.incarnation != f.server.incarnation {
 		return
 	}
+	f.replied = true
+	f.releaseUnserved()
+	if f.closed {
+		return
+	}
 	maxRate := fleet.FillSpeed * fleet.FlowKBPerS / second / float64(1+sim.trunkDistance(f.server.office, source))
 	stepDone := func() {
 		f.pendingSteps--
-		if f.pendingSteps == 0 && !f.closed {
+		if f.pendingSteps == 0 && !f.closed && f.incarnation == f.server.incarnation {
 			f.complete(attempt)
 		}
 	}
@@ -117,6 +140,19 @@
 	sim.schedule(int64(attempt.SizeKB/maxRate), stepDone)
 }
 
+// releaseUnserved removes the attempts for which the fill's copy is too old, and serves them as misses.
+func (f *fill) releaseUnserved() {
+	s := f.server
+	for _, attempt := range slices.Clone(f.attempts) {
+		if f.mayServe(attempt) {
+			continue
+		}
+		attempt.fill = nil
+		f.removeAttempt(attempt)
+		s.serveMiss(attempt, f.key)
+	}
+}
+
 // unregister removes the fill from its server.
 func (f *fill) unregister() {
 	f.server.fillCount--
@@ -190,7 +226,9 @@
 		s.originRead(done)
 	case kindCache:
 		cached := s.store.get(partKey(attempt.objectID, attempt.Part))
-		if cached != nil && cached.issuedAt > s.simulation.purgedAt(attempt.objectID, attempt.Group) {
+		earliestIssued := s.simulation.now - s.simulation.maxAge(attempt)
+		if cached != nil && cached.issuedAt > s.simulation.purgedAt(attempt.objectID, attempt.Group) &&
+			cached.issuedAt >= earliestIssued {
 			done(cached.issuedAt, policy.ReasonMiss)
 		} else {
 			done(0, policy.ReasonUpstreamMiss)
--- a/internal/simulation/parent.go
+++ b/internal/simulation/parent.go
@@ -20,13 +20,14 @@
 }
 
 // fetch supplies the parent's copy of a part. If the parent has no copy that is fresh enough, it first gets one from
-// the origin or joins a fill in flight, as far as the attempt and the scenario allow.
+// the origin or joins a fill in flight, as far as the attempt and the scenario allow. If the copy of the fill that it
+// joined turns out to be too old for it, it gets another one.
 func (s *server) fetch(attempt *Attempt, done fillDone) {
 	sim := s.simulation
 	key := partKey(attempt.objectID, attempt.Part)
-	maxAge := sim.maxAge(attempt)
+	earliestIssued := sim.now - sim.maxAge(attempt)
 	s.reportServed++
-	if cached := s.lookup(attempt, key); cached != nil && sim.now-cached.issuedAt <= maxAge {
+	if cached := s.lookup(attempt, key); cached != nil && cached.issuedAt >= earliestIssued {
 		s.reportHits++
 		done(cached.issuedAt, policy.ReasonMiss)
 		return
@@ -36,7 +37,7 @@
 		return
 	}
 	if inFlight := s.fills[key]; inFlight != nil && sim.scenario.Fleet.ParentCoalesces {
-		inFlight.waiters = append(inFlight.waiters, func() { done(inFlight.issuedAt, inFlight.reason) })
+		inFlight.waiters = append(inFlight.waiters, fetchWaiter{attempt, earliestIssued, done})
 		return
 	}
 	s.fetchFromOrigin(attempt, key, done)
@@ -80,8 +81,6 @@
 		return
 	}
 	f.unregister()
-	f.issuedAt = issuedAt
-	f.reason = reason
 	mayStore := !fillFailed(reason) && attempt.FillMode&policy.FillNoKeep == 0
 	if mayStore && issuedAt > s.simulation.purgedAt(attempt.objectID, attempt.Group) {
 		s.store.put(f.key, attempt.SizeKB, issuedAt, attempt.Group, defaultPriority)
@@ -90,7 +89,11 @@
 	waiters := f.waiters
 	f.waiters = nil
 	for _, waiter := range waiters {
-		waiter()
+		if !fillFailed(reason) && issuedAt < waiter.earliestIssued {
+			s.fetch(waiter.attempt, waiter.done)
+			continue
+		}
+		waiter.done(issuedAt, reason)
 	}
 }
 
