Don't pass on copies older than a purge that the router knows

Cause: a router asks for a greatest age, computed by its own clock, and never looked at the issue time in the answer. A cache that lets the attempt join an older fill, or a router whose clock is ahead of discovery's and the origin's, gives the client an old copy.

Mend: the policy compares the issue time with the purges that the router had received when it sent the attempt. An older copy ends its attempt as an error (an unsafe request is not sent again), and later attempts under that purge ask for copies from after its receipt. How long a purge binds counts from its receipt, too. New metric: quilldoor_purged_copies_rejected_total.

Looked at for the same fault: fills at parents, hedges, checks of disk copies and requests of other sites all end as attempts and are checked; the gateway checks the other site's answers already.

--- a/cmd/quilldoor/metrics.go
+++ b/cmd/quilldoor/metrics.go
@@ -70,6 +70,7 @@
 	set.gauge(float64(endpoints), "servers_listed")
 	set.gauge(float64(r.downstream.Clients()), "clients")
 	set.gauge(float64(r.upstream.ConnCount()), "upstream_connections")
+	set.counter(r.engine.PurgedCopies(), "purged_copies_rejected_total")
 	if r.membership != nil {
 		r.collectMembership(set)
 	}
--- a/internal/emulator/virtual_request.go
+++ b/internal/emulator/virtual_request.go
@@ -209,6 +209,9 @@
 	result := engine.Result{Outcome: end.Outcome, Reason: end.Reason, OriginWait: end.Waited, Load: end.Load}
 	if end.Outcome == policy.OutcomeDone {
 		result.Response = virtualResponse{end.Issued}
+		if end.Issued > 0 {
+			result.IssuedAt = end.Issued + epochMicros
+		}
 	}
 	current := router.engine
 	attempt := ended.DriverData.(*engine.Attempt)
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -73,6 +73,7 @@
 	OriginWait int64              // microseconds for which the fill waited for the origin
 	Load       map[string]float64 // the endpoint's load report, by the protocol's keys; see policy.Event
 	Response   Response           // set with OutcomeDone
+	IssuedAt   int64              // when the origin issued the copy in Response; 0: no copy
 }
 
 // AttemptEnded reports an attempt's result. Only the first result of an attempt
@@ -96,6 +97,7 @@
 	attempt.ended = true
 	e.stopTimer(attempt.timer)
 	request.pendingAttempts--
+	e.rejectPurgedCopy(attempt, &result)
 	request.endedMaybeExecuted = request.endedMaybeExecuted || !result.Outcome.NeverExecuted()
 	if result.Outcome == policy.OutcomeDone && !request.closed {
 		request.post(Command{Kind: CommandRespond, Attempt: attempt, Response: result.Response})
@@ -111,6 +113,19 @@
 	e.removeIfDone(request)
 }
 
+// rejectPurgedCopy turns a response that carries a purged copy into an error, so that
+// the request is sent again.
+func (e *Engine) rejectPurgedCopy(attempt *Attempt, result *Result) {
+	request := attempt.Request
+	if request.closed || result.Outcome != policy.OutcomeDone || result.IssuedAt == 0 ||
+		!e.policy.RejectPurgedCopy(request.ID, attempt.Number, result.IssuedAt) {
+		return
+	}
+	e.purgedCopies++
+	result.Outcome = policy.OutcomeError
+	result.Reason = policy.ReasonNone
+}
+
 // startAttempt creates the attempt that the policy decided on. An attempt that
 // can't be sent ends at once with an outcome that proves it was not executed.
 func (e *Engine) startAttempt(now int64, request *Request, action policy.Action) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,6 +21,7 @@
 
 	requests     map[string]*Request // by id, until closed and all attempts have ended
 	openRequests int                 // the number of requests that are not closed
+	purgedCopies int64               // responses rejected because they carried a purged copy
 	endpoints    map[string]*Endpoint
 	timers       timerHeap
 	events       []policy.Event  // not yet passed to the policy
@@ -67,6 +68,15 @@
 	return e.openRequests, endpoints
 }
 
+// PurgedCopies returns the number of responses that were rejected because the origin
+// had issued their copy before a purge that this router had received when it sent the
+// attempt.
+func (e *Engine) PurgedCopies() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.purgedCopies
+}
+
 // LocalHit reports a request that the router answers from its own disk cache;
 // such a request is not opened. Of event only Object and Part are used.
 func (e *Engine) LocalHit(now int64, event policy.Event) {
--- a/internal/policy/purgeage.go
+++ b/internal/policy/purgeage.go
@@ -4,9 +4,11 @@
 
 // purge records a purge that some caches may not have received yet.
 type purge struct {
-	object string // "": the whole group
-	group  int64
-	at     int64 // time at which it was made
+	object     string // "": the whole group
+	group      int64
+	at         int64 // time at which it was made
+	receivedAt int64 // time at which this router received it
+	violated   bool  // a purged copy was returned although the greatest age excluded it
 }
 
 // purgeMargin covers differences between clocks and rounding.
@@ -14,7 +16,7 @@
 
 // addPurge records a purge of the given age.
 func (r *Router) addPurge(object string, group, age int64) {
-	r.purges = append(r.purges, purge{object, group, r.now - age})
+	r.purges = append(r.purges, purge{object: object, group: group, at: r.now - age, receivedAt: r.now})
 }
 
 // maxAge returns the greatest age of a copy for the request: the class's freshness time plus grace, or less if a purge
@@ -22,10 +24,13 @@
 func (r *Router) maxAge(req *request, grace int64) int64 {
 	age := req.class.freshFor + grace
 	for _, p := range r.purges {
-		since := r.now - p.at
-		if since >= r.config.purgeSettleTime+purgeMargin || !p.covers(req) {
+		if r.settled(&p) || !p.covers(req) {
 			continue
 		}
+		since := r.now - p.at
+		if p.violated { // the ages that caches compute, or the clocks, are unreliable
+			since = r.now - p.receivedAt
+		}
 		since = max(since-purgeMargin, 1)
 		if age == 0 || since < age {
 			age = since
@@ -34,14 +39,37 @@
 	return age
 }
 
+// RejectPurgedCopy reports whether the copy in the response to an attempt must not be passed on: the origin issued it, at
+// the time issued, before a purge that this router had received when it sent the attempt. The greatest age excludes such
+// copies, but a cache may return one all the same: from a fill that another request began, or because its clock and this
+// router's differ. After the first one, attempts ask for copies from after the receipt of the purge.
+func (r *Router) RejectPurgedCopy(requestID string, attemptNumber int, issued int64) (rejected bool) {
+	req := r.requests[requestID]
+	if req == nil || attemptNumber < 0 || attemptNumber >= len(req.attempts) {
+		return false
+	}
+	sentAt := req.attempts[attemptNumber].sentAt
+	for i := range r.purges {
+		p := &r.purges[i]
+		if issued < p.at && p.receivedAt <= sentAt && p.covers(req) {
+			p.violated = true
+			return true
+		}
+	}
+	return false
+}
+
 // covers reports whether a purge applies to the request's object.
 func (p *purge) covers(req *request) bool {
 	return p.object == req.object || p.object == "" && p.group == req.group
 }
 
+// settled reports whether a purge has reached all caches. Its time counts from its receipt, on this router's clock alone.
+func (r *Router) settled(p *purge) bool {
+	return r.now-p.receivedAt >= r.config.purgeSettleTime+purgeMargin
+}
+
 // dropSettledPurges drops purges that have reached all caches.
 func (r *Router) dropSettledPurges() {
-	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool {
-		return r.now-p.at > r.config.purgeSettleTime+purgeMargin
-	})
+	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool { return r.settled(&p) })
 }
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -173,7 +173,7 @@
 	r.fillAttemptSamples = restoreSamples(snapshot.FillFailures)
 	r.priorities = slices.Clone(last(snapshot.Priorities, maxRecent))
 	for _, p := range snapshot.Purges {
-		r.purges = append(r.purges, purge{p.Object, p.Group, p.At})
+		r.purges = append(r.purges, purge{object: p.Object, group: p.Group, at: p.At, receivedAt: r.now})
 	}
 	return nil
 }
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -117,6 +117,7 @@
 		NotModified:  response.Status == cacheproto.StatusNotModified,
 		IssuedMillis: response.IssuedMillis,
 	}
+	result.IssuedAt = response.IssuedMillis * microsPerMilli
 	return result
 }
 
