Take the time of decisions from the monotonic clock

Cause: the time of decisions was the system's time at each call, and deadlines, windows and the age of purges were kept as times on it.

Mend: internal/clock starts at the system's time and advances with the monotonic clock. The engine converts times from discovery as they come in, by the step known then; a start listed again is no restart. Issue times and purges are compared as told. Reports to the supervisor keep system time.

Looked at for the same fault: disk cache (watches for steps itself; its discoveryLostAt and retryAt stay listed), supervisor's monitor (has ClockStepped), gateway and membership (monotonic already), gossip and the purge log (compare with times from outside, on purpose).

--- a/cmd/quilldoor/background.go
+++ b/cmd/quilldoor/background.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/policy"
 )
@@ -31,12 +32,13 @@
 func (r *router) runBackground(ctx context.Context) {
 	state := backgroundState{sweptAt: time.Now(), statusAt: time.Now()}
 	for {
-		nextDue, commands := r.engine.Run(clock())
+		r.syncClock()
+		nextDue, commands := r.engine.Run(clock.Now())
 		for _, command := range commands {
 			r.runCommand(&state, command)
 		}
 		r.sweep(&state, time.Now())
-		due := time.UnixMicro(nextDue)
+		due := time.Now().Add(time.Duration(nextDue-clock.Now()) * time.Microsecond)
 		select {
 		case <-ctx.Done():
 			return
@@ -47,6 +49,9 @@
 	}
 }
 
+// syncClock tells the engine by how much the system's clock differs from that of decisions.
+func (r *router) syncClock() { r.engine.SetClockStep(clock.Step()) }
+
 func (r *router) runCommand(state *backgroundState, command engine.Command) {
 	switch command.Kind {
 	case engine.CommandHealthCheck:
@@ -108,9 +113,9 @@
 // checkHealth sends a health check and reports its outcome to the engine. Without a
 // response within the connect timeout the outcome is a timeout.
 func (r *router) checkHealth(endpoint *engine.Endpoint, tag string) {
-	sent := clock()
+	sent := clock.Now()
 	report := func(outcome policy.Outcome) {
-		r.events.HealthChecked(clock(), endpoint.ID, outcome, clock()-sent)
+		r.events.HealthChecked(clock.Now(), endpoint.ID, outcome, clock.Now()-sent)
 	}
 	r.upstream.CheckHealth(endpoint, tag, func(ok bool) {
 		if ok {
--- a/cmd/quilldoor/discovery.go
+++ b/cmd/quilldoor/discovery.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/discovery"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/policy"
@@ -42,7 +43,8 @@
 // applyEndpoints applies changes of the endpoint list from discovery or from other routers
 // of the site.
 func (r *router) applyEndpoints(scope policy.UpdateScope, list []engine.Endpoint) {
-	r.upstream.Drain(r.events.UpdateEndpoints(clock(), scope, list))
+	r.syncClock()
+	r.upstream.Drain(r.events.UpdateEndpoints(clock.Now(), scope, list))
 	for _, endpoint := range list {
 		r.log.WithFields(logrus.Fields{
 			"endpoint": endpoint.ID, "address": endpoint.Address, "zone": endpoint.Zone, "kind": endpoint.Kind,
@@ -79,11 +81,12 @@
 // purgeCopies invalidates this router's older copies. Unlike applyPurge it does not record
 // the purge for peers of other sites, since it may come from one of them.
 func (r *router) purgeCopies(object string, group, at int64) {
-	r.events.Purge(clock(), object, group, at)
+	r.syncClock()
+	r.events.Purge(clock.Now(), object, group, at)
 	if cache := r.diskCache.Load(); cache != nil {
 		cache.Purge(object, group, at)
 	}
-	r.log.WithFields(logrus.Fields{"object": object, "group": group, "age_ms": (clock() - at) / microsPerMilli}).Debug("purge")
+	r.log.WithFields(logrus.Fields{"object": object, "group": group, "age_ms": (clock.System() - at) / microsPerMilli}).Debug("purge")
 }
 
 // DiscoveryLost handles the first failed poll in a row.
--- a/cmd/quilldoor/faultyprogram_test.go
+++ b/cmd/quilldoor/faultyprogram_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/handoff"
 	"quilldoor/internal/policy"
@@ -115,7 +116,7 @@
 		return
 	}
 	delay := time.Duration(now-attempt.DecidedAt) * time.Microsecond / 5
-	time.AfterFunc(delay, func() { f.eventHandler.AttemptEnded(clock(), attempt, result) })
+	time.AfterFunc(delay, func() { f.eventHandler.AttemptEnded(clock.Now(), attempt, result) })
 }
 
 // faultyHost fails to carry out requests of its supervisor.
--- a/cmd/quilldoor/generation.go
+++ b/cmd/quilldoor/generation.go
@@ -4,6 +4,7 @@
 	"runtime/debug"
 	"time"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/handoff"
 	"quilldoor/internal/policy"
@@ -29,7 +30,7 @@
 	}
 	g.slowStartHoldUntil = 0
 	if budgetsMaybeSpent {
-		g.slowStartHoldUntil = clock() + g.policy.Contract.OverloadWindow
+		g.slowStartHoldUntil = clock.Now() + g.policy.Contract.OverloadWindow
 	}
 	if err := g.openExclusive(state.Membership); err != nil {
 		return err
@@ -43,7 +44,7 @@
 	if state.Learned != nil && !stateIsOwn {
 		g.restore(state.Learned)
 	}
-	g.engine.HoldSlowStart(clock(), g.slowStartHoldUntil)
+	g.engine.HoldSlowStart(clock.Now(), g.slowStartHoldUntil)
 	g.accept()
 	return nil
 }
@@ -61,7 +62,7 @@
 func (g *generation) Release() *handoff.State {
 	const never = 1 << 62 // microseconds
 	g.stopAccepting()
-	g.engine.HoldSlowStart(clock(), never)
+	g.engine.HoldSlowStart(clock.Now(), never)
 	g.stopWatching()
 	defer g.watchDiscovery()
 	learned := g.engine.Snapshot()
@@ -146,7 +147,7 @@
 // SetOtherAttempts sets the attempts that other generations have in flight, by endpoint and
 // kind. Concurrency limits apply to the attempts of all generations together.
 func (g *generation) SetOtherAttempts(inFlight map[string]policy.AttemptCounts) {
-	g.engine.SetOtherGeneration(clock(), inFlight)
+	g.engine.SetOtherGeneration(clock.Now(), inFlight)
 }
 
 // SendToPeer sends the supervisor's message to another router of the site, if this generation
--- a/cmd/quilldoor/gossip.go
+++ b/cmd/quilldoor/gossip.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/gossip"
 	"quilldoor/internal/membership"
@@ -51,7 +52,7 @@
 		return nil
 	}
 	h.mu.Lock()
-	result := h.replica.HandlePayload(h.now(), clock(), from, digest, body, transport.MaxPayloadBytes)
+	result := h.replica.HandlePayload(h.now(), clock.System(), from, digest, body, transport.MaxPayloadBytes)
 	h.mu.Unlock()
 	h.apply(result.Endpoints)
 	for _, purge := range result.Purges {
@@ -77,7 +78,7 @@
 	if now-h.tickedAt >= tickInterval {
 		h.tickedAt = now
 		h.replica.SetSingleConfirmation(connectivity.Known < gossip.MembersForConfirmation)
-		expired = h.replica.Tick(now, clock())
+		expired = h.replica.Tick(now, clock.System())
 	}
 	h.mu.Unlock()
 	h.apply(expired)
--- a/cmd/quilldoor/membership.go
+++ b/cmd/quilldoor/membership.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/netip"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/membership"
 	"quilldoor/internal/membership/transport"
 	"quilldoor/internal/operatorconfig"
@@ -28,7 +29,7 @@
 		return nil
 	}
 	// The previous process of this router may have spent its slow-start budgets until now.
-	r.engine.HoldSlowStart(clock(), clock()+r.policy.Contract.OverloadWindow)
+	r.engine.HoldSlowStart(clock.Now(), clock.Now()+r.policy.Contract.OverloadWindow)
 	r.membership, err = transport.Start(settings, key, listen, r.gossip, r.log)
 	return err
 }
--- a/cmd/quilldoor/purgelog.go
+++ b/cmd/quilldoor/purgelog.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"sync"
+
+	"quilldoor/internal/clock"
 )
 
 // purgeLog holds the purges that caches may not have applied yet, for peers that may not have
@@ -27,7 +29,7 @@
 func (l *purgeLog) add(object string, group, at int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	oldestKept := clock() - l.retention
+	oldestKept := clock.System() - l.retention
 	for len(l.purges) > 0 && (l.purges[0].at < oldestKept || len(l.purges) >= maxLoggedPurges) {
 		l.purges = l.purges[1:]
 	}
--- a/cmd/quilldoor/router.go
+++ b/cmd/quilldoor/router.go
@@ -8,11 +8,11 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"quilldoor/internal/bufferpool"
+	"quilldoor/internal/clock"
 	"quilldoor/internal/config"
 	"quilldoor/internal/discovery"
 	"quilldoor/internal/diskcache/diskrunner"
@@ -78,9 +78,6 @@
 // routerConstructor constructs a router, which reloads its configuration with load.
 type routerConstructor func(config *startConfig, logger *logrus.Logger, load loadConfig) (*router, error)
 
-// clock returns the time in Unix microseconds.
-func clock() int64 { return time.Now().UnixMicro() }
-
 // newRouter constructs the components that every process of a router has. It opens no files
 // or sockets of its own.
 func newRouter(config *startConfig, logger *logrus.Logger, load loadConfig) (*router, error) {
@@ -129,5 +126,5 @@
 }
 
 func (r *router) attemptEnded(attempt *engine.Attempt, result engine.Result) {
-	r.events.AttemptEnded(clock(), attempt, result)
+	r.events.AttemptEnded(clock.Now(), attempt, result)
 }
--- a/internal/downstream/exchange.go
+++ b/internal/downstream/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/diskcache/diskrunner"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/upstream"
@@ -83,7 +84,7 @@
 	if x.client.hasDisconnected() {
 		return false
 	}
-	engineRequest, err := s.engine.Open(now.UnixMicro(), x.request.event, func() {
+	engineRequest, err := s.engine.Open(clock.At(now), x.request.event, func() {
 		x.wake.raise()
 		x.client.SetReadDeadline(now) // interrupts the read in awaitSignal
 	})
@@ -121,7 +122,7 @@
 			return final, connected
 		}
 		if connected = x.client.awaitSignal(x.wake); !connected {
-			x.server.engine.ClientDisconnected(time.Now().UnixMicro(), engineRequest)
+			x.server.engine.ClientDisconnected(clock.Now(), engineRequest)
 		}
 	}
 }
@@ -163,7 +164,7 @@
 		sendMicros = float64(response.Len()) / s.clientRate * 1e6
 	}
 	s.recorder.RecordResponse(
-		event.Class, event.Object, event.Group, final.Attempt.DecidedAt, response.IssuedMillis*1000, sendMicros)
+		event.Class, event.Object, event.Group, final.Attempt.DecidedAt+clock.Step(), response.IssuedMillis*1000, sendMicros)
 }
 
 // responseSize returns the length of a command's response; 0 without one.
@@ -202,7 +203,7 @@
 		Write:          request.event.Write,
 	}
 	attempt.Transport = call
-	s.recorder.RecordAttempt(attempt.DecidedAt, attempt.Endpoint.ID, attempt.Source, request.event.Class, attempt.Unsafe)
+	s.recorder.RecordAttempt(attempt.DecidedAt+clock.Step(), attempt.Endpoint.ID, attempt.Source, request.event.Class, attempt.Unsafe)
 	s.upstream.Send(call)
 }
 
--- a/internal/downstream/forward.go
+++ b/internal/downstream/forward.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quilldoor/internal/cacheproto"
+	"quilldoor/internal/clock"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/gateway"
 	"quilldoor/internal/gateway/peerpolicy"
@@ -140,7 +141,7 @@
 	}
 	request := &clientRequest{event: forwarded.Event, tag: forwarded.Tag, body: forwarded.Body}
 	wake := newSignal()
-	engineRequest, err := s.engine.Open(time.Now().UnixMicro(), request.event, wake.raise)
+	engineRequest, err := s.engine.Open(clock.Now(), request.event, wake.raise)
 	if err != nil {
 		return rejected
 	}
@@ -154,7 +155,7 @@
 		case <-wake:
 		case <-clientGone:
 			connected = false
-			s.engine.ClientDisconnected(time.Now().UnixMicro(), engineRequest)
+			s.engine.ClientDisconnected(clock.Now(), engineRequest)
 		}
 	}
 }
--- a/internal/downstream/localcache.go
+++ b/internal/downstream/localcache.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quilldoor/internal/clock"
 	"quilldoor/internal/diskcache/diskrunner"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/upstream"
@@ -29,7 +30,7 @@
 	}
 	x.server.stats.countOutcome(engine.CommandRespond)
 	x.server.countWeight(x.request, true, x.cached.Len(), 0)
-	x.server.engine.LocalHit(now.UnixMicro(), x.request.event)
+	x.server.engine.LocalHit(clock.At(now), x.request.event)
 	return true
 }
 
--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -11,6 +11,24 @@
 // Active reports whether the endpoint may be sent new work.
 func (e *Endpoint) Active() bool { return e.State == policy.EndpointActive }
 
+// startTime is when an endpoint started: as listed, on the system's clock, and on the
+// clock of decisions. An endpoint that is listed with the same time again has not
+// started again, whatever the clocks show by then.
+type startTime struct{ listed, local int64 }
+
+// localStartTime returns a listed start time on the clock of decisions.
+func (e *Engine) localStartTime(id string, listed int64) int64 {
+	known, isKnown := e.startTimes[id]
+	if !isKnown || known.listed != listed {
+		known = startTime{listed: listed}
+		if listed > 0 {
+			known.local = max(listed-e.clockStep, 1) // 0 would mean long ago
+		}
+		e.startTimes[id] = known
+	}
+	return known.local
+}
+
 // UpdateEndpoints applies changes of the endpoint list (ScopeDiff) or a complete list
 // (ScopeInitial at the start, otherwise ScopeSnapshot). It returns the previous
 // entries of endpoints that are not active, are no longer listed or have a new
@@ -22,7 +40,9 @@
 	listed := map[string]bool{}
 	for _, endpoint := range list {
 		listed[endpoint.ID] = true
-		event.Endpoints = append(event.Endpoints, endpoint.Endpoint)
+		local := endpoint.Endpoint
+		local.StartedAt = e.localStartTime(endpoint.ID, endpoint.StartedAt)
+		event.Endpoints = append(event.Endpoints, local)
 		previous := e.endpoints[endpoint.ID]
 		if previous != nil && (!endpoint.Active() || previous.Address != endpoint.Address) {
 			retired = append(retired, previous)
@@ -30,6 +50,7 @@
 		e.endpoints[endpoint.ID] = &endpoint
 		if endpoint.State == policy.EndpointRemoved {
 			delete(e.endpoints, endpoint.ID)
+			delete(e.startTimes, endpoint.ID)
 		}
 	}
 	if scope != policy.ScopeDiff {
@@ -44,6 +65,7 @@
 	for id, endpoint := range e.endpoints {
 		if !listed[id] {
 			delete(e.endpoints, id)
+			delete(e.startTimes, id)
 			removed = append(removed, endpoint)
 		}
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -23,6 +23,8 @@
 	openRequests int                 // the number of requests that are not closed
 	purgedCopies int64               // responses rejected because they carried a purged copy
 	endpoints    map[string]*Endpoint
+	clockStep    int64                // µs by which the clock of discovery and the origin is ahead of now
+	startTimes   map[string]startTime // by endpoint id
 	timers       timerHeap
 	events       []policy.Event  // not yet passed to the policy
 	actions      []policy.Action // reused by dispatch
@@ -42,6 +44,7 @@
 		purgeSettle: settings.Hierarchy.PurgeSettleTime,
 		requests:    map[string]*Request{},
 		endpoints:   map[string]*Endpoint{},
+		startTimes:  map[string]startTime{},
 		requestRun:  requestRun,
 	}
 	for _, class := range settings.Classes {
@@ -96,15 +99,28 @@
 	e.handle(now, policy.Event{Kind: policy.EventSlowStartHold, HoldUntil: until})
 }
 
+// SetClockStep sets how many microseconds the system's clock, to which times from
+// discovery and the origin refer, is ahead of the time that is passed as now. It changes
+// when the system's clock is stepped.
+func (e *Engine) SetClockStep(step int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.clockStep = step
+}
+
 // Purge reports the purge of an object, or of a group if object is "". The purge
-// was made at purgedAt, a time in microseconds. One older than
+// was made at purgedAt, a time in microseconds on the system's clock. One older than
 // Hierarchy.PurgeSettleTime is ignored, since it has reached all caches.
 func (e *Engine) Purge(now int64, object string, group, purgedAt int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now-purgedAt <= e.purgeSettle {
-		e.handle(now, policy.Event{Kind: policy.EventPurge, Object: object, Group: group, Age: max(now-purgedAt, 0)})
+	age := now + e.clockStep - purgedAt
+	if age > e.purgeSettle {
+		return
 	}
+	e.handle(now, policy.Event{
+		Kind: policy.EventPurge, Object: object, Group: group, Age: max(age, 0), PurgedAt: purgedAt,
+	})
 }
 
 // HealthChecked reports the outcome of a health check; rtt is in microseconds.
--- a/internal/policy/purgeage.go
+++ b/internal/policy/purgeage.go
@@ -7,6 +7,7 @@
 	object     string // "": the whole group
 	group      int64
 	at         int64 // time at which it was made
+	purgedAt   int64 // the same on the clock of the origin; 0: unknown
 	receivedAt int64 // time at which this router received it
 	violated   bool  // a purged copy was returned although the greatest age excluded it
 }
@@ -14,9 +15,11 @@
 // purgeMargin covers differences between clocks and rounding.
 const purgeMargin = 1 * millisecond
 
-// addPurge records a purge of the given age.
-func (r *Router) addPurge(object string, group, age int64) {
-	r.purges = append(r.purges, purge{object: object, group: group, at: r.now - age, receivedAt: r.now})
+// addPurge records a purge.
+func (r *Router) addPurge(e *Event) {
+	r.purges = append(r.purges, purge{
+		object: e.Object, group: e.Group, at: r.now - e.Age, purgedAt: e.PurgedAt, receivedAt: r.now,
+	})
 }
 
 // maxAge returns the greatest age of a copy for the request: the class's freshness time plus grace, or less if a purge
@@ -40,9 +43,9 @@
 }
 
 // RejectPurgedCopy reports whether the copy in the response to an attempt must not be passed on: the origin issued it, at
-// the time issued, before a purge that this router had received when it sent the attempt. The greatest age excludes such
-// copies, but a cache may return one all the same: from a fill that another request began, or because its clock and this
-// router's differ. After the first one, attempts ask for copies from after the receipt of the purge.
+// the time issued on its own clock, before a purge that this router had received when it sent the attempt. The greatest
+// age excludes such copies, but a cache may return one all the same: from a fill that another request began, or because
+// its clock and this router's differ. After the first one, attempts ask for copies from after the receipt of the purge.
 func (r *Router) RejectPurgedCopy(requestID string, attemptNumber int, issued int64) (rejected bool) {
 	req := r.requests[requestID]
 	if req == nil || attemptNumber < 0 || attemptNumber >= len(req.attempts) {
@@ -51,7 +54,7 @@
 	sentAt := req.attempts[attemptNumber].sentAt
 	for i := range r.purges {
 		p := &r.purges[i]
-		if issued < p.at && p.receivedAt <= sentAt && p.covers(req) {
+		if issued < p.purgedAt && p.receivedAt <= sentAt && p.covers(req) {
 			p.violated = true
 			return true
 		}
--- a/internal/policy/purgeage_test.go
+++ b/internal/policy/purgeage_test.go
@@ -29,7 +29,7 @@
 		sentAt     = receivedAt + 100*millisecond
 	)
 	r := newRouter(nil)
-	r.Handle(receivedAt, Event{Kind: EventPurge, Group: 7, Age: receivedAt - purgedAt}, nil)
+	r.Handle(receivedAt, Event{Kind: EventPurge, Group: 7, Age: receivedAt - purgedAt, PurgedAt: purgedAt}, nil)
 	first := onlyAction(t, r.Handle(sentAt, newRequest("read"), nil), ActionSend)
 	if r.RejectPurgedCopy("t", 0, purgedAt) || r.RejectPurgedCopy("t", 0, purgedAt+millisecond) {
 		t.Error("a copy from after the purge is rejected")
@@ -56,7 +56,7 @@
 func TestCopyOfAnAttemptSentBeforeThePurgeIsPassedOn(t *testing.T) {
 	r := newRouter(nil)
 	onlyAction(t, r.Handle(begin, newRequest("read"), nil), ActionSend)
-	r.Handle(begin+millisecond, Event{Kind: EventPurge, Group: 7}, nil)
+	r.Handle(begin+millisecond, Event{Kind: EventPurge, Group: 7, PurgedAt: begin + millisecond}, nil)
 	if r.RejectPurgedCopy("t", 0, begin-second) {
 		t.Error("the copy is rejected")
 	}
--- a/internal/policy/router.go
+++ b/internal/policy/router.go
@@ -190,7 +190,7 @@
 	case EventHealthCheck:
 		r.observeHealthCheck(ep, e.Outcome)
 	case EventPurge:
-		r.addPurge(e.Object, e.Group, e.Age)
+		r.addPurge(&e)
 	case EventSlowStartHold:
 		r.slowStartHoldUntil = e.HoldUntil
 	case EventOtherGeneration:
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -107,7 +108,7 @@
 		}
 	}
 	for _, p := range r.purges {
-		snapshot.Purges = append(snapshot.Purges, PurgeSnapshot{Object: p.object, Group: p.group, At: p.at})
+		snapshot.Purges = append(snapshot.Purges, PurgeSnapshot{Object: p.object, Group: p.group, At: cmp.Or(p.purgedAt, p.at)})
 	}
 	return snapshot
 }
@@ -173,7 +174,9 @@
 	r.fillAttemptSamples = restoreSamples(snapshot.FillFailures)
 	r.priorities = slices.Clone(last(snapshot.Priorities, maxRecent))
 	for _, p := range snapshot.Purges {
-		r.purges = append(r.purges, purge{object: p.Object, group: p.Group, at: p.At, receivedAt: r.now})
+		r.purges = append(r.purges, purge{
+			object: p.Object, group: p.Group, at: p.At, purgedAt: p.At, receivedAt: r.now,
+		})
 	}
 	return nil
 }
--- a/internal/policy/types.go
+++ b/internal/policy/types.go
@@ -180,6 +180,7 @@
 
 	Token     int64                    // of a timer: Token of its ActionSetTimer
 	Age       int64                    // of a purge: time since it was made
+	PurgedAt  int64                    // of a purge: when it was made, on the clock of the origin; 0: unknown
 	InFlight  map[string]AttemptCounts // of the other process: result of its Router.InFlight
 	HoldUntil int64                    // time until which endpoints in slow start receive no requests
 }
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quilldoor/internal/cacheproto"
+	"quilldoor/internal/clock"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/policy"
 )
@@ -105,7 +106,7 @@
 	for i, item := range batch {
 		switch {
 		case item.call != nil:
-			c.encodeCall(encoded, item.call, now.UnixMicro())
+			c.encodeCall(encoded, item.call, clock.At(now))
 		case item.drop != "":
 			encoded.add(cacheproto.AppendDrop(nil, item.drop))
 		default:
