Don't count attempts without a connection as sent to endpoints that are gone

Callers saw nothing.

Cause: the checker counted the router's decision.

No router could act otherwise: its list said active, nobody had told it.

Mend: a break by a router that counts as notified and was not is retracted when its attempt ends without a connection. All else is judged as before: the same attempt with another outcome, an endpoint named as the source of a fill, and any attempt after the router was really told; four new cases of the checker's test hold these.

TestGossipKeepsTheRulesWhileDiscoveryIsCut needs breaks without membership to show that its scenario tests something, and these were such attempts. It counts them by Result.Unsent now, and allows none with membership: as strict as before on both sides.

--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -88,6 +88,9 @@
 	// LateNotices counts endpoints that collapsed under work of routers that had not been notified
 	// of the start. They are not violations of rule 4.
 	LateNotices int
+	// Unsent counts attempts to endpoints that drained or were removed, by routers that count as
+	// notified and were not, that ended without a connection. They are not violations of rule 3.
+	Unsent int
 }
 
 // New returns a checker that has seen no entries.
--- a/internal/checker/checker_test.go
+++ b/internal/checker/checker_test.go
@@ -214,6 +214,22 @@
 			entry(0, eventlog.KindListed, eventlog.Entry{Endpoint: "a", State: "left"}), taken("read"),
 			sent(900, 0, "a", "o"), answered(901, "rejected", 0),
 		}},
+		{"past the notification deadline, nothing sent", 0, []*eventlog.Entry{
+			entry(0, eventlog.KindListed, eventlog.Entry{Endpoint: "a", State: "left"}), takenWithLongDeadline(),
+			sent(7501, 0, "a", "o"), ended(7502, 0, "econnrefused"), answered(7503, "rejected", 0),
+		}},
+		{"past the notification deadline, connection reset", 3, []*eventlog.Entry{
+			entry(0, eventlog.KindListed, eventlog.Entry{Endpoint: "a", State: "left"}), takenWithLongDeadline(),
+			sent(7501, 0, "a", "o"), ended(7502, 0, "econnreset"), answered(7503, "rejected", 0),
+		}},
+		{"past the notification deadline, source removed", 3, []*eventlog.Entry{
+			entry(0, eventlog.KindListed, eventlog.Entry{Endpoint: "p", State: "left"}), takenWithLongDeadline(),
+			sent(7501, 0, "a", "p"), ended(7502, 0, "econnrefused"), answered(7503, "rejected", 0),
+		}},
+		{"draining, after the grace, nothing sent", 3, []*eventlog.Entry{
+			notified(0, "a", "left"), taken("read"), sent(501, 0, "a", "o"), ended(502, 0, "econnrefused"),
+			answered(503, "rejected", 0),
+		}},
 		{"notified during a suspension, within the grace", 0, []*eventlog.Entry{
 			suspended(-100), notified(0, "a", "leaving"), resumed(700), takenWithLongDeadline(), sent(1200, 0, "a", "o"),
 			answered(1201, "rejected", 0),
--- a/internal/checker/endpoints.go
+++ b/internal/checker/endpoints.go
@@ -1,6 +1,8 @@
 package checker
 
 import (
+	"slices"
+
 	"quilldoor/internal/eventlog"
 	"quilldoor/internal/policy"
 )
@@ -39,13 +41,14 @@
 	c.notified[entry.Router][entry.Endpoint] = notification{state, entry.StartedAt, entry.At}
 }
 
-// checkDraining checks rule 3 for an endpoint that an attempt uses. The use is how the violation names it.
-func (c *Checker) checkDraining(entry *eventlog.Entry, endpoint, use string) {
+// checkDraining checks rule 3 for an endpoint that an attempt uses. The use is how the violation names it. It returns
+// true for a violation by a router that counts as notified and was not.
+func (c *Checker) checkDraining(entry *eventlog.Entry, endpoint, use string) (unaware bool) {
 	if endpoint == "" {
-		return
+		return false
 	}
 	if last := c.suspensions[entry.Router]; last.until == 0 && last.from > 0 {
-		return // the router is suspended: it sent the attempt before
+		return false // the router is suspended: it sent the attempt before
 	}
 	notified, known := c.notified[entry.Router][endpoint]
 	listed := c.listed[endpoint]
@@ -60,5 +63,21 @@
 		(!known || notified.state == policy.EndpointActive) && entry.At > listedBy+grace:
 		c.violate(ruleNothingToDraining, entry, "%s %s %d ms after the router counts as notified that the endpoint is %s",
 			use, endpoint, (entry.At-listedBy)/ms, listed.state)
+		return true
+	}
+	return false
+}
+
+// retractUnsent retracts the violation by an attempt of a router that was not notified, when it ends without a connection:
+// for rule 3 an attempt counts from its first byte, and none was sent.
+func (c *Checker) retractUnsent(entry *eventlog.Entry, attempt *attempt) {
+	c.Unsent++
+	c.CountByRule[ruleNothingToDraining]--
+	i := slices.IndexFunc(c.Violations, func(v Violation) bool {
+		return v.Rule == ruleNothingToDraining && v.At == attempt.sentAt && v.Router == entry.Router &&
+			v.Request == entry.Request && v.Endpoint == attempt.endpoint
+	})
+	if i >= 0 {
+		c.Violations = slices.Delete(c.Violations, i, i+1)
 	}
 }
--- a/internal/checker/requests.go
+++ b/internal/checker/requests.go
@@ -31,6 +31,7 @@
 	endpoint string
 	outcome  string
 	ran      bool
+	unaware  bool // sent to an endpoint that drains or is removed, of which its router was not notified
 }
 
 type endedRequest struct {
@@ -43,6 +44,7 @@
 	requestCompleted = "completed"
 	requestRejected  = "rejected"
 	attemptDone      = "done"
+	attemptRefused   = "econnrefused" // no connection was established, so nothing was sent
 )
 
 func (r *request) attempt(entry *eventlog.Entry) *attempt {
@@ -98,13 +100,13 @@
 	if request.outcome != "" {
 		c.violate(ruleOneAnswer, entry, "an attempt after the final answer")
 	}
-	c.checkDraining(entry, entry.Endpoint, "sent to")
+	unaware := c.checkDraining(entry, entry.Endpoint, "sent to")
 	if entry.Source != entry.Endpoint {
 		c.checkDraining(entry, entry.Source, "named as source")
 	}
 	c.checkRetry(entry, request)
 	request.attempts = append(request.attempts, attempt{
-		router: entry.Router, number: entry.Attempt, sentAt: entry.At, endpoint: entry.Endpoint,
+		router: entry.Router, number: entry.Attempt, sentAt: entry.At, endpoint: entry.Endpoint, unaware: unaware,
 	})
 }
 
@@ -133,8 +135,13 @@
 	if request == nil {
 		return
 	}
-	if attempt := request.attempt(entry); attempt != nil && attempt.outcome == "" {
-		attempt.outcome = entry.Outcome
+	attempt := request.attempt(entry)
+	if attempt == nil || attempt.outcome != "" {
+		return
+	}
+	attempt.outcome = entry.Outcome
+	if attempt.unaware && attempt.outcome == attemptRefused {
+		c.retractUnsent(entry, attempt)
 	}
 }
 
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -18,6 +18,7 @@
 
 	Cost               Cost     // on sockets: the resources that the router processes used
 	LateNotices        int      `json:",omitempty"` // endpoints overloaded before routers were notified of their start
+	Unsent             int      `json:",omitempty"` // attempts to endpoints gone without notice that ended without a connection
 	Excused            int      // requests due while their router was suspended, or whose process was killed
 	BrokenConnections  int      `json:"Broke"`   // on sockets: client connections that broke before an answer
 	RefusedConnections int      `json:"Refused"` // on sockets: client connections that routers did not accept
--- a/internal/emulator/sockets.go
+++ b/internal/emulator/sockets.go
@@ -230,6 +230,7 @@
 		Judged:             s.checker.Checked,
 		MaxDelay:           max(s.maxDelay, s.delays.longestMicros.Load()),
 		LateNotices:        s.checker.LateNotices,
+		Unsent:             s.checker.Unsent,
 		Excused:            s.checker.Excused,
 		Cost:               s.cost,
 		BrokenConnections:  s.brokenConns,
--- a/internal/emulator/virtual.go
+++ b/internal/emulator/virtual.go
@@ -157,6 +157,7 @@
 		CountByRule: v.checker.CountByRule,
 		Judged:      v.checker.Checked,
 		LateNotices: v.checker.LateNotices,
+		Unsent:      v.checker.Unsent,
 		Excused:     v.checker.Excused,
 	}
 	if v.fleet != nil {
--- a/internal/emulator/virtual_membership_test.go
+++ b/internal/emulator/virtual_membership_test.go
@@ -23,11 +23,14 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			violations := result.CountByRule[3] + result.CountByRule[4]
+			violations := result.CountByRule[3] + result.CountByRule[4] + result.Unsent
 			if !membership {
 				violatedAlone += violations
 				continue
 			}
+			if result.Unsent > 0 {
+				t.Errorf("seed %d: %d attempts to endpoints of whose end gossip had told", seed+1, result.Unsent)
+			}
 			for _, violation := range result.Violations {
 				t.Errorf("seed %d: %v", seed+1, violation)
 			}
