Count work that a restarted endpoint got before its router was told

Cause: work was recorded for the slow-start budget only while an endpoint counted as cold. At the notice of a restart the record was empty, and a whole budget came on top of what the endpoint had been sent since its start, within one window.

Mend: work sent to warm endpoints is recorded, too, summed up in 32 slots of a window, and what was sent since the listed start counts. No budget becomes smaller. An upgrade hands on the sum (old programs read it as a reservation).

Looked at for the same fault: parents (the same code), the supervisor's monitor (judges what a process sent after the start, by its own list).

--- a/internal/policy/endpoint.go
+++ b/internal/policy/endpoint.go
@@ -32,7 +32,7 @@
 	readmittedAt    int64    // 0: not readmitted since it started
 	sourceSamples   []sample // of the last fills from it; bad: late
 
-	reservations []reservation // work sent to it during slow start
+	reservations []reservation // work sent to it within the overload window
 	cached       []uint64      // hashes of the objects that it was asked to keep, most recent last
 	linkUse      float64       // reported utilization of its zone's link from the parents, 0 to 1
 
--- a/internal/policy/slowstart.go
+++ b/internal/policy/slowstart.go
@@ -21,11 +21,15 @@
 	// budgetDeviations is the number of standard deviations of the summed work that must also fit into the budget where
 	// sizes are unknown: a few requests may all be large.
 	budgetDeviations = 3
+	// warmSlots is the number of reservations within an overload window to which the work sent to a warm endpoint is
+	// summed up.
+	warmSlots = 32
 )
 
-// reservation is the work of one attempt at an endpoint in slow start, or of one fill from it.
+// reservation is the work of one attempt at an endpoint in slow start, or of one fill from it. Work sent to a warm
+// endpoint is summed up in slots, since the endpoint may have restarted before this router is notified.
 type reservation struct {
-	at       int64
+	at       int64   // of a slot: its end
 	work     int64   // transfer time, or its mean in the class if the size is unknown
 	variance float64 // of the work; 0 if the size is known
 }
@@ -58,6 +62,9 @@
 	r.dropReservations(ep)
 	work, variance := float64(req.cost), req.costVariance
 	for _, reserved := range ep.reservations {
+		if reserved.at < ep.startedAt { // it reached an earlier process
+			continue
+		}
 		work += float64(reserved.work)
 		variance += reserved.variance
 	}
@@ -69,14 +76,38 @@
 	return total <= budgetShare*maxWork && total+budgetDeviations*math.Sqrt(variance*budget.routers) <= maxWork
 }
 
-// reserve counts the request against an endpoint's slow-start budget.
+// reserve counts the request against an endpoint's slow-start budget, also while the endpoint counts as warm.
 func (r *Router) reserve(ep *endpoint, req *request) {
-	if r.warm(ep) {
-		ep.reservations = nil
+	if r.config.slowStart[ep.role].duration == 0 {
 		return
 	}
 	r.dropReservations(ep)
-	ep.reservations = append(ep.reservations, reservation{r.now, req.cost, req.costVariance})
+	added := reservation{r.now, req.cost, req.costVariance}
+	if r.warm(ep) {
+		slot := max(r.config.overloadWindow/warmSlots, 1)
+		added.at = (r.now/slot + 1) * slot
+		if last := len(ep.reservations) - 1; last >= 0 && ep.reservations[last].at == added.at {
+			ep.reservations[last].work += added.work
+			ep.reservations[last].variance += added.variance
+			return
+		}
+	}
+	ep.reservations = append(ep.reservations, added)
+}
+
+// recentWork returns an endpoint's reservations for another process. Those of a warm endpoint are summed up, to keep the
+// state of a large fleet small.
+func (r *Router) recentWork(ep *endpoint) []reservation {
+	r.dropReservations(ep)
+	if len(ep.reservations) == 0 || !r.warm(ep) {
+		return ep.reservations
+	}
+	sum := reservation{at: ep.reservations[len(ep.reservations)-1].at}
+	for _, reserved := range ep.reservations {
+		sum.work += reserved.work
+		sum.variance += reserved.variance
+	}
+	return []reservation{sum}
 }
 
 // dropReservations drops reservations older than the overload window.
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -42,3 +42,65 @@
 		t.Errorf("sent to %s after the window, want the cache in slow start", a.Endpoint)
 	}
 }
+
+// Guards against overloading an endpoint whose restart this router hears of late: what it sent since the restart, while
+// it took the endpoint for a warm one, uses up the budget, too.
+func TestWorkSentBeforeTheNoticeOfARestartCounts(t *testing.T) {
+	const (
+		restartedAt = begin
+		notifiedAt  = begin + 300*millisecond
+		work        = 50 * millisecond // of each request
+	)
+	for _, id := range []string{cacheA, parentA} {
+		r := newRouter(nil)
+		ep := r.endpoints[id]
+		budget := r.config.slowStart[ep.role]
+		sent := int64(0)
+		for r.now = restartedAt; r.now < notifiedAt; r.now += 2 * millisecond {
+			if r.slowStartAllows(ep, &request{cost: work}) {
+				r.reserve(ep, &request{cost: work})
+				sent += work
+			}
+		}
+		r.now = notifiedAt
+		ep.startedAt = restartedAt
+		capacity := budget.initialCapacity + (1-budget.initialCapacity)*0.03
+		maxWork := budget.overloadMultiple * ep.weight * capacity * float64(second) / budget.routers
+		if float64(sent) < budgetShare*maxWork {
+			t.Fatalf("%s: work of %d before the notice, the budget is %.0f: the test shows nothing", id, sent, maxWork)
+		}
+		if r.slowStartAllows(ep, &request{cost: work}) {
+			t.Errorf("%s: it is sent more, although work of %d since its restart exceeds the budget of %.0f", id, sent, maxWork)
+		}
+	}
+}
+
+// Guards against work before an endpoint's restart that uses up the budget of its new process.
+func TestWorkSentBeforeARestartDoesNotCount(t *testing.T) {
+	r := newRouter(nil)
+	ep := r.endpoints[cacheA]
+	for range 100 {
+		r.reserve(ep, &request{cost: second})
+	}
+	r.now = begin + second/2
+	ep.startedAt = r.now
+	if !r.slowStartAllows(ep, &request{cost: 50 * millisecond}) {
+		t.Error("a restarted cache is sent nothing, for work that its earlier process did")
+	}
+}
+
+// Guards against a list of reservations that grows with the load of a warm endpoint.
+func TestReservationsOfWarmEndpointsAreBounded(t *testing.T) {
+	r := newRouter(nil)
+	ep := r.endpoints[cacheA]
+	for range 100_000 {
+		r.now += millisecond / 10
+		r.reserve(ep, &request{cost: millisecond})
+	}
+	if len(ep.reservations) > warmSlots+1 {
+		t.Errorf("%d reservations, want at most %d", len(ep.reservations), warmSlots+1)
+	}
+	if sum := r.recentWork(ep); len(sum) != 1 || sum[0].work < 9_900*millisecond || sum[0].work > 10_400*millisecond {
+		t.Errorf("handed on: %+v, want the work of one window of 1 s", sum)
+	}
+}
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -100,7 +100,7 @@
 		snapshot.BypassLimiters[i] = r.bypassLimiters[i].snapshot()
 	}
 	for _, ep := range r.ordered {
-		snapshot.Endpoints = append(snapshot.Endpoints, ep.snapshot())
+		snapshot.Endpoints = append(snapshot.Endpoints, ep.snapshot(r.recentWork(ep)))
 	}
 	for name, class := range r.classes {
 		if len(class.transferTimes) > 0 {
@@ -113,7 +113,7 @@
 	return snapshot
 }
 
-func (ep *endpoint) snapshot() EndpointSnapshot {
+func (ep *endpoint) snapshot(recentWork []reservation) EndpointSnapshot {
 	out := EndpointSnapshot{
 		ID:            ep.id,
 		StartedAt:     ep.startedAt,
@@ -124,7 +124,7 @@
 		SourceSamples: snapshotSamples(ep.sourceSamples),
 		CachedObjects: slices.Clone(ep.cached),
 	}
-	for _, p := range ep.reservations {
+	for _, p := range recentWork {
 		out.ReservedAt = append(out.ReservedAt, p.at)
 		out.ReservedWork = append(out.ReservedWork, p.work)
 		out.ReservedVariance = append(out.ReservedVariance, p.variance)
