Judge rule 4 by what a router knew when it sent the work

Callers saw nothing.

Cause: the checker asked whether a router had been told of an endpoint's start when its work arrived there. The rule counts work from routers that had been told; through a cache to a parent an attempt is under way for milliseconds or longer.

Evidence: p1-2 started at 18.619 s, router 0 was told at 18.728 s, its attempt was sent at 18.725 s and reached the parent at 18.729 s, with 0.71 of the 0.74 s of work that overloaded it. No decision came after the notice, so no router could have acted otherwise.

Looked at for the same fault: rule 3 is judged when an attempt is sent, rule 5 by the attempt's sending.

--- a/internal/checker/slowstart_test.go
+++ b/internal/checker/slowstart_test.go
@@ -54,6 +54,14 @@
 		{"notified of an earlier start", 0, []*eventlog.Entry{
 			started(100), notifiedOfStart(150, 100), started(300), warmingWorkOf(350, 3), overloaded(350),
 		}},
+		{"sent before the notification, arrived after it", 0, []*eventlog.Entry{
+			taken("read"), started(100), sent(140, 0, "a", "a"), notifiedOfStart(150, 100), warmingWorkOf(200, 3), overloaded(200),
+			answered(300, "rejected", 0),
+		}},
+		{"sent at the notification", 4, []*eventlog.Entry{
+			taken("read"), started(100), notifiedOfStart(150, 100), sent(150, 0, "a", "a"), warmingWorkOf(200, 3), overloaded(200),
+			answered(300, "rejected", 0),
+		}},
 		{"work without an entry in the log", 4, []*eventlog.Entry{started(100), warmingWorkOf(150, 1), overloaded(200)}},
 		{"router started with the current list", 4, []*eventlog.Entry{
 			started(100), listedStart(100, 100), entry(150, eventlog.KindRouterUp, eventlog.Entry{}),
