Evict one client for a new one, not every client that becomes idle

What callers saw: at the bound on clients' connections, idle connections were closed that need not have been.

Cause: admit evicted another client each time it was woken while no slot was free, and every client that ends a request wakes it. While one evicted connection is still closing, one newcomer could cost several clients theirs.

Evidence: TestOneClientIsEvictedForANewOne forces the order and failed before ("a second client is evicted for the same new one").

Mend: clients whose connections are closing do not count when it decides whether to evict; their slots are awaited. Looked at for the same fault: the upstream pool's own bound closes one idle connection for one new one, under one lock.

--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -163,17 +163,30 @@
 	}, code)
 }
 
-// admit adds a client. At the client limit it evicts another one first.
+// admit adds a client. At the client limit it evicts another one first. While a
+// connection that was evicted or shut down is still closing, its slot is awaited.
 func (s *Server) admit(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.clients) >= s.maxClients && !s.limitSuspended {
-		s.evictClient()
+		if s.openClients() >= s.maxClients {
+			s.evictClient()
+		}
 		s.slotFreed.Wait()
 	}
 	s.clients[c] = struct{}{}
 }
 
+// openClients returns the number of clients whose connections are not closing.
+func (s *Server) openClients() (open int) {
+	for c := range s.clients {
+		if c.state != clientClosing {
+			open++
+		}
+	}
+	return open
+}
+
 // evictClient closes a connection on which no request is being served, if there is
 // one: the oldest of those that never had a response, otherwise the one that has
 // been idle longest. Clients that connect without sending a request may come by
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -153,6 +153,46 @@
 	}
 }
 
+// Guards against evicting, for one and the same new client, every client that becomes idle
+// while the first victim's connection is still closing.
+func TestOneClientIsEvictedForANewOne(t *testing.T) {
+	s := newTestServer(t, 2, 10*time.Second)
+	newConn := func() net.Conn {
+		clientEnd, serverEnd := net.Pipe()
+		t.Cleanup(func() { clientEnd.Close() })
+		return serverEnd
+	}
+	victim, busy := newClient(newConn()), newClient(newConn())
+	busy.state = clientBusy
+	s.addClient(victim)
+	s.addClient(busy)
+	newcomer := newClient(newConn())
+	admitted := make(chan struct{})
+	go func() {
+		s.admit(newcomer)
+		close(admitted)
+	}()
+	stateOf := func(c *client) clientState {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return c.state
+	}
+	for stateOf(victim) != clientClosing { // its connection is closed, but its goroutine has not removed it
+		time.Sleep(time.Millisecond)
+	}
+	for range 50 { // each response wakes admit
+		if !s.setState(busy, clientIdle) {
+			t.Fatal("a second client is evicted for the same new one")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.remove(victim)
+	<-admitted
+	if stateOf(busy) != clientIdle {
+		t.Error("a second client is evicted for the same new one")
+	}
+}
+
 // A request that arrives while its connection is evicted must not be run: its
 // response could not be sent.
 func TestNothingBeginsOnAnEvictedConnection(t *testing.T) {
