Order the evictions of TestSilentClientsAreEvictedFirst by what it observes

What was seen: in the race build beside load the third eviction sometimes took a later client than the one served first.

Cause: the test. Clients are evicted in the order in which they became idle, which is when their goroutine runs again; a client reads its response before that. The test took the order of the responses for that of becoming idle.

Now the test waits until the server counts a client as idle before it connects the next one. The three evictions and their order are checked as before, with no more time. That a client counts as idle some tenths of a millisecond after its response is no fault: which of two clients so close together is evicted matters to neither.

--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -62,6 +62,25 @@
 	s.clients[c] = struct{}{}
 }
 
+// awaitIdle waits until the given number of clients have had a response and are idle. A
+// client can read its response before the server's goroutine runs again and counts it as
+// idle, and clients are evicted in the order in which they became idle.
+func (s *testServer) awaitIdle(count int) {
+	idle := func() (idle int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.clients {
+			if c.served && c.state == clientIdle {
+				idle++
+			}
+		}
+		return idle
+	}
+	for idle() < count {
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
 // testClient is a client's end of a connection.
 type testClient struct {
 	net.Conn
@@ -144,12 +163,14 @@
 	if got := served.roundTrip(fmt.Sprintf(requestText, 1)); got != "503" {
 		t.Fatalf("status %q, want 503", got)
 	}
+	s.awaitIdle(1)
 	io.WriteString(partial, "GET /")
 	for i, evicted := range []*testClient{silent, partial, served} {
 		if got := s.connect(t).roundTrip(fmt.Sprintf(requestText, 2+i)); got != "503" {
 			t.Fatalf("status %q, want 503", got)
 		}
 		evicted.expectClosed(t)
+		s.awaitIdle(min(2+i, 3))
 	}
 }
 
