Charge slow start for large copies while few sizes of a class are known

Cause: an attempt of unknown size is charged at the mean of its class's last transfer times, and three deviations must fit as well. One time has no deviation, nor have a few times of one object.

Mend: while fewer than 16 times are known the class's latency objective counts as one more, as it does alone while none is known.

--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -155,14 +155,20 @@
 	r.priorities = addRecent(r.priorities, req.priority)
 }
 
-// setCost computes how much of a slow-start budget an attempt of the request uses.
+// setCost computes how much of a slow-start budget an attempt of the request uses. Where its own transfer time is unknown
+// and few of its class are known, they may be small and alike by chance: the latency objective counts as one more.
 func (req *request) setCost() {
 	req.cost = req.transferTime
 	req.costVariance = 0
-	if req.transferTime == 0 {
-		req.cost = mean(req.class.transferTimes, req.class.latencyObjective)
-		req.costVariance = variance(req.class.transferTimes)
+	if req.transferTime > 0 {
+		return
+	}
+	times := req.class.transferTimes
+	if len(times) < minSamples {
+		times = append([]int64{req.class.latencyObjective}, times...)
 	}
+	req.cost = mean(times, 0)
+	req.costVariance = variance(times)
 }
 
 // inFlight reports whether an attempt of the request is in flight.
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"math"
+	"testing"
+)
 
 func TestSlowStartStaysInsideItsBudget(t *testing.T) {
 	for _, id := range []string{cacheA, parentA} {
@@ -75,6 +78,28 @@
 	}
 }
 
+// Guards against overloading a small endpoint in slow start with one large copy, because the few transfer times that a
+// restarted router knows of the class are small and alike.
+func TestFewTransferTimesDoNotHideTheirSpread(t *testing.T) {
+	const (
+		known = 20 * millisecond
+		few   = 10 // with as many, a tenth of the copies may be as large as the objective allows
+	)
+	class := &trafficClass{latencyObjective: 500 * millisecond}
+	for count := range minSamples + 1 {
+		req := &request{class: class}
+		req.setCost()
+		bound := float64(req.cost) + budgetDeviations*math.Sqrt(req.costVariance)
+		if count < few && bound < float64(class.latencyObjective) {
+			t.Errorf("with %d transfer times known a copy counts as %.0f us at the most, want at least the objective", count, bound)
+		}
+		if count == minSamples && bound != float64(known) {
+			t.Errorf("with %d equal transfer times known a copy counts as %.0f us at the most, want %d", count, bound, known)
+		}
+		class.transferTimes = append(class.transferTimes, known)
+	}
+}
+
 // Guards against work before an endpoint's restart that uses up the budget of its new process.
 func TestWorkSentBeforeARestartDoesNotCount(t *testing.T) {
 	r := newRouter(nil)
