Keep one object at least in a cache's list, however many routers a zone has

Cause: a router's part of the list of objects that a cache is asked to keep is 64 divided by the root of the zone's routers, rounded down: 0 from 4,097 on, and the admission takes the first object of a full list.

Evidence: TestAdmissionWithMoreRoutersThanObjects (5,000 routers) panicked before, index out of range.

Mend: at least one object. Looked at for the same fault: other lists whose bound is computed from settings (popularity's sample and the limits' floors have lower bounds).

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -9,8 +9,10 @@
 // root of the number of routers that share the cache, since each router sees only a part of its requests.
 const maxCachedObjects = 64
 
-// cachedObjectsLimit returns the bound for a router with a share of its zone's requests.
-func cachedObjectsLimit(zoneShare float64) int { return int(maxCachedObjects * math.Sqrt(zoneShare)) }
+// cachedObjectsLimit returns the bound for a router with a share of its zone's requests, at least one.
+func cachedObjectsLimit(zoneShare float64) int {
+	return max(int(maxCachedObjects*math.Sqrt(zoneShare)), 1)
+}
 
 // Priorities for a copy in a cache. The protocol has higher and lower ones, which no decision uses.
 const (
--- a/internal/policy/admission_test.go
+++ b/internal/policy/admission_test.go
@@ -29,3 +29,10 @@
 		t.Fatalf("list of %d objects, popularity halved after %d requests", r.config.maxCachedObjects, r.popularitySample)
 	}
 }
+
+// Guards against a panic at the first read in a zone with so many routers that this router's part of a cache's list of
+// objects is less than one object.
+func TestAdmissionWithMoreRoutersThanObjects(t *testing.T) {
+	r := newRouter(func(settings *Settings) { settings.Hierarchy.RoutersByZone = []int{0, 5000} })
+	onlyAction(t, r.Handle(begin, newRequest("read"), nil), ActionSend)
+}
