Let a membership agent be closed twice, and after its instance was handed over

Cause: Close and Handoff close the same channel without a look at whether it is closed already.

Evidence: TestClosedAgentMayBeClosedAgain panicked before, "close of closed channel".

Mend: whichever of the two comes first ends the agent; a later Close does nothing, so that it announces no departure of an instance that goes on elsewhere. Looked at for the same fault: the gateway's Close closes no channel of its own; the disk cache's does, and its only caller swaps the cache out first.

--- a/internal/membership/transport/agent.go
+++ b/internal/membership/transport/agent.go
@@ -52,6 +52,7 @@
 	handler PayloadHandler // nil: none
 	done    chan struct{}
 	running sync.WaitGroup // receiveLoop and tickLoop
+	ended   sync.Once      // by Close or Handoff
 
 	mu   sync.Mutex
 	node *membership.Node
@@ -238,19 +239,22 @@
 // Handoff stops the agent without notifying other members. It returns the state with which another process of this
 // router continues the instance.
 func (a *Agent) Handoff() *membership.HandoffState {
-	a.stop()
+	a.ended.Do(a.stop)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.node.Handoff()
 }
 
-// Close announces the departure of the router to some members and stops the agent.
+// Close announces the departure of the router to some members and stops the agent. It does nothing after Handoff, or if
+// the agent is closed already.
 func (a *Agent) Close() {
-	a.mu.Lock()
-	out := a.node.Depart(a.now())
-	a.mu.Unlock()
-	a.send(out)
-	a.stop()
+	a.ended.Do(func() {
+		a.mu.Lock()
+		out := a.node.Depart(a.now())
+		a.mu.Unlock()
+		a.send(out)
+		a.stop()
+	})
 }
 
 func (a *Agent) stop() {
--- a/internal/membership/transport/agent_test.go
+++ b/internal/membership/transport/agent_test.go
@@ -173,3 +173,21 @@
 		t.Errorf("read key %q, %v, want %q", got, err, key)
 	}
 }
+
+// Guards against a panic when an agent is closed twice, and against the announcement of a departure by an agent whose
+// instance another process has taken over.
+func TestClosedAgentMayBeClosedAgain(t *testing.T) {
+	addrs := reserveAddrs(t, 2)
+	a, b := start(t, addrs, 0, key), start(t, addrs, 1, key)
+	defer b.Close()
+	waitFor(t, "a and b see each other alive", func() bool {
+		return countMembers(a, membership.StateAlive) == 1 && countMembers(b, membership.StateAlive) == 1
+	})
+	a.Handoff()
+	a.Close()
+	a.Close()
+	if left := countMembers(b, membership.StateLeft) + countMembers(b, membership.StateLeaving); left > 0 {
+		t.Error("the departure of an instance that goes on elsewhere was announced")
+	}
+	b.Close()
+}
