Refuse a configuration that is null instead of ending the supervisor

Cause: JSON's null makes a map nil, and writeProcessConfig sets an entry in it.

Evidence: TestConfigurationThatIsNoObjectIsAnError and TestNullLimitsOfThePlatformCountAsNone panicked before, "assignment to entry in nil map".

Mend: an error that names the file; limits that are null count as none. Looked at for the same fault: the other maps that JSON fills (settingsdiff, faultsearch) are read only or made new.

--- a/internal/supervisor/generation.go
+++ b/internal/supervisor/generation.go
@@ -101,6 +101,9 @@
 	if err := readJSON(manifest.Config, &config); err != nil {
 		return "", err
 	}
+	if config == nil {
+		return "", fmt.Errorf("%s: null instead of an object", manifest.Config)
+	}
 	if err := readJSON(s.config.Platform, &platform); err != nil {
 		return "", err
 	}
@@ -112,6 +115,9 @@
 	}
 	limits := map[string]any{}
 	_ = json.Unmarshal(config["limits"], &limits) // the program's check reports invalid limits
+	if limits == nil {                            // they are null
+		limits = map[string]any{}
+	}
 	if budget != (upgrade.Resources{}) {
 		limits["memory_mb"] = budget.MemoryMB
 		limits["sockets"] = budget.Descriptors
