Add up the deviations of copies of one object in slow start

Cause: where sizes are unknown the budget holds the mean of the class and three deviations of the sum, as of independent draws; copies of one part are equally large, all of them, and so are the two attempts of one request.

--- a/internal/policy/slowstart.go
+++ b/internal/policy/slowstart.go
@@ -29,9 +29,11 @@
 // reservation is the work of one attempt at an endpoint in slow start, or of one fill from it. Work sent to a warm
 // endpoint is summed up in slots, since the endpoint may have restarted before this router is notified.
 type reservation struct {
-	at       int64   // of a slot: its end
-	work     int64   // transfer time, or its mean in the class if the size is unknown
-	variance float64 // of the work; 0 if the size is known
+	at        int64   // of a slot: its end
+	work      int64   // transfer time, or its mean in the class if the size is unknown
+	variance  float64 // by which it raised that of the endpoint's reserved work; 0 if the size is known
+	key       uint64  // hash of the object and its part; 0: of several
+	deviation float64 // standard deviation of the work
 }
 
 // slowStartedAt returns the time at which an endpoint's slow start began. A readmitted cache may have been restarted: it
@@ -60,7 +62,7 @@
 		return false
 	}
 	r.dropReservations(ep)
-	work, variance := float64(req.cost), req.costVariance
+	work, variance := float64(req.cost), ep.addedVariance(req)
 	for _, reserved := range ep.reservations {
 		if reserved.at < ep.startedAt { // it reached an earlier process
 			continue
@@ -76,16 +78,32 @@
 	return total <= budgetShare*maxWork && total+budgetDeviations*math.Sqrt(variance*budget.routers) <= maxWork
 }
 
+// addedVariance returns by how much the request raises the variance of an endpoint's reserved work. Requests for the same
+// part of an object have the same size, so that their deviations add up, not their variances.
+func (ep *endpoint) addedVariance(req *request) float64 {
+	deviation, same := math.Sqrt(req.costVariance), 0.0
+	for _, reserved := range ep.reservations {
+		if reserved.key == req.key && reserved.at >= ep.startedAt {
+			same += reserved.deviation
+		}
+	}
+	return req.costVariance + 2*same*deviation
+}
+
 // reserve counts the request against an endpoint's slow-start budget, also while the endpoint counts as warm.
 func (r *Router) reserve(ep *endpoint, req *request) {
 	if r.config.slowStart[ep.role].duration == 0 {
 		return
 	}
 	r.dropReservations(ep)
-	added := reservation{r.now, req.cost, req.costVariance}
+	added := reservation{
+		at: r.now, work: req.cost, variance: ep.addedVariance(req),
+		key: req.key, deviation: math.Sqrt(req.costVariance),
+	}
 	if r.warm(ep) {
 		slot := max(r.config.overloadWindow/warmSlots, 1)
 		added.at = (r.now/slot + 1) * slot
+		added.key = 0
 		if last := len(ep.reservations) - 1; last >= 0 && ep.reservations[last].at == added.at {
 			ep.reservations[last].work += added.work
 			ep.reservations[last].variance += added.variance
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -100,6 +100,42 @@
 	}
 }
 
+// Guards against overloading an endpoint in slow start with one large object that is requested many times: all of these
+// copies are large, or none is.
+func TestCopiesOfOneObjectAreLargeTogether(t *testing.T) {
+	const (
+		small, large = 100 * millisecond, 900 * millisecond
+		largeOneIn   = 8
+	)
+	r := newRouter(nil)
+	ep := r.endpoints[cacheA]
+	budget := r.config.slowStart[ep.role]
+	ep.startedAt = begin
+	r.now = begin
+	class := &trafficClass{latencyObjective: large}
+	for i := range minSamples {
+		transferTime := small
+		if i%largeOneIn == 0 {
+			transferTime = large
+		}
+		class.transferTimes = append(class.transferTimes, transferTime)
+	}
+	sent := int64(0)
+	for {
+		req := &request{class: class, key: 7}
+		req.setCost()
+		if !r.slowStartAllows(ep, req) {
+			break
+		}
+		r.reserve(ep, req)
+		sent++
+	}
+	maxWork := budget.overloadMultiple * ep.weight * budget.initialCapacity * float64(second) / budget.routers
+	if work := float64(sent * large); sent == 0 || work > maxWork {
+		t.Errorf("%d copies of a large object are sent, work of %.0f; the endpoint bears %.0f", sent, work, maxWork)
+	}
+}
+
 // Guards against work before an endpoint's restart that uses up the budget of its new process.
 func TestWorkSentBeforeARestartDoesNotCount(t *testing.T) {
 	r := newRouter(nil)
