--- a/internal/checker/slowstart_test.go
+++ b/internal/checker/slowstart_test.go
@@ -62,6 +62,12 @@
 			taken("read"), started(100), notifiedOfStart(150, 100), sent(150, 0, "a", "a"), warmingWorkOf(200, 3), overloaded(200),
 			answered(300, "rejected", 0),
 		}},
+		{"notified during a suspension, sent as the router resumes", 0, []*eventlog.Entry{
+			suspended(50), started(100), notifiedOfStart(150, 100), resumed(400), warmingWorkOf(400, 3), overloaded(400),
+		}},
+		{"notified during a suspension, sent after the router has resumed", 4, []*eventlog.Entry{
+			suspended(50), started(100), notifiedOfStart(150, 100), resumed(400), warmingWorkOf(401, 3), overloaded(401),
+		}},
 		{"work without an entry in the log", 4, []*eventlog.Entry{started(100), warmingWorkOf(150, 1), overloaded(200)}},
 		{"router started with the current list", 4, []*eventlog.Entry{
 			started(100), listedStart(100, 100), entry(150, eventlog.KindRouterUp, eventlog.Entry{}),
