Count each object once for the spread of a class's sizes in slow start

Cause: the deviation that slow start allows for was that of the class's last 32 transfer times. Where most of them are for one or two objects they are alike, and say nothing of the class.

TestOneObjectDoesNotHideTheSpreadOfItsClass, written for the code before, failed there: a copy counted as 0.02 s at the most, its class's objective is 0.5 s.

Mend: the deviation counts each object once, and the latency objective as one more while fewer than 16 objects are known. The mean stays as it is. TestFewTransferTimesDoNotHideTheirSpread and TestCopiesOfOneObjectAreLargeTogether give each time an object of its own now, with the same bounds.

--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -13,6 +13,43 @@
 	write            bool
 	priorityWeight   float64
 	transferTimes    []int64 // of the last requests, see recordOutcome and setPriority
+	objectTimes      []objectTime
+}
+
+// objectTime is the last transfer time of a copy of an object.
+type objectTime struct {
+	object       string
+	transferTime int64
+}
+
+// learnTransferTime records the transfer time of a copy whose size the request did not tell.
+func (c *trafficClass) learnTransferTime(object string, transferTime int64) {
+	c.transferTimes = addRecent(c.transferTimes, transferTime)
+	c.objectTimes = slices.DeleteFunc(c.objectTimes, func(known objectTime) bool { return known.object == object })
+	c.objectTimes = addRecent(c.objectTimes, objectTime{object, transferTime})
+}
+
+// meanTransferTime returns the mean of the last transfer times. While few are known, they may be small by chance: the
+// latency objective counts as one more.
+func (c *trafficClass) meanTransferTime() int64 {
+	times := c.transferTimes
+	if len(times) < minSamples {
+		times = append([]int64{c.latencyObjective}, times...)
+	}
+	return mean(times, 0)
+}
+
+// transferVariance returns the variance of the transfer times around a mean. It counts each object once, since many
+// requests may be for one of them, and while few objects are known the latency objective as one more.
+func (c *trafficClass) transferVariance(mean int64) float64 {
+	times := make([]int64, 0, maxRecent+1)
+	if len(c.objectTimes) < minSamples {
+		times = append(times, c.latencyObjective)
+	}
+	for _, known := range c.objectTimes {
+		times = append(times, known.transferTime)
+	}
+	return variance(times, mean)
 }
 
 // request is the state of an open request.
@@ -155,20 +192,14 @@
 	r.priorities = addRecent(r.priorities, req.priority)
 }
 
-// setCost computes how much of a slow-start budget an attempt of the request uses. Where its own transfer time is unknown
-// and few of its class are known, they may be small and alike by chance: the latency objective counts as one more.
+// setCost computes how much of a slow-start budget an attempt of the request uses.
 func (req *request) setCost() {
 	req.cost = req.transferTime
 	req.costVariance = 0
-	if req.transferTime > 0 {
-		return
-	}
-	times := req.class.transferTimes
-	if len(times) < minSamples {
-		times = append([]int64{req.class.latencyObjective}, times...)
+	if req.transferTime == 0 {
+		req.cost = req.class.meanTransferTime()
+		req.costVariance = req.class.transferVariance(req.cost)
 	}
-	req.cost = mean(times, 0)
-	req.costVariance = variance(times)
 }
 
 // inFlight reports whether an attempt of the request is in flight.
--- a/internal/policy/samples.go
+++ b/internal/policy/samples.go
@@ -58,11 +58,12 @@
 	return sum / int64(len(values))
 }
 
-// variance returns the variance of values, 0 if there are none.
-func variance(values []int64) float64 {
-	average, sum := float64(mean(values, 0)), 0.0
+// variance returns the variance of values around a mean, 0 if there are none.
+func variance(values []int64, mean int64) float64 {
+	sum := 0.0
 	for _, v := range values {
-		sum += (float64(v) - average) * (float64(v) - average)
+		deviation := float64(v - mean)
+		sum += deviation * deviation
 	}
 	return sum / float64(max(len(values), 1))
 }
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"math"
 	"testing"
 )
@@ -96,7 +97,22 @@
 		if count == minSamples && bound != float64(known) {
 			t.Errorf("with %d equal transfer times known a copy counts as %.0f us at the most, want %d", count, bound, known)
 		}
-		class.transferTimes = append(class.transferTimes, known)
+		class.learnTransferTime(fmt.Sprint(count), known)
+	}
+}
+
+// Guards against overloading a small endpoint in slow start with a few large copies, because the last transfer times of
+// the class are those of one object that is requested again and again.
+func TestOneObjectDoesNotHideTheSpreadOfItsClass(t *testing.T) {
+	const known = 20 * millisecond
+	class := &trafficClass{latencyObjective: 500 * millisecond}
+	for range maxRecent {
+		class.learnTransferTime("hot", known)
+	}
+	req := &request{class: class}
+	req.setCost()
+	if bound := float64(req.cost) + budgetDeviations*math.Sqrt(req.costVariance); bound < float64(class.latencyObjective) {
+		t.Errorf("with the times of one object known a copy counts as %.0f us at the most, want at least the objective", bound)
 	}
 }
 
@@ -118,7 +134,7 @@
 		if i%largeOneIn == 0 {
 			transferTime = large
 		}
-		class.transferTimes = append(class.transferTimes, transferTime)
+		class.learnTransferTime(fmt.Sprint(i), transferTime)
 	}
 	sent := int64(0)
 	for {
