Release the bodies that are queued on a connection when it closes

Cause: flush took the queue of a connection that had closed meanwhile and returned, and nobody released what it held.

Evidence: TestClosedConnectionReleasesQueuedBodies: half of the limit did not come back before.

Mend: flush discards such a queue as the connection's end does. Looked at for the same fault: a batch whose write fails releases its bodies; expired calls in a batch, too.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -13,6 +13,7 @@
 	"quilldoor/internal/config"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/policy"
+	"quilldoor/internal/testsupport"
 )
 
 // testPool is a pool and the listener of an endpoint. The test sends the endpoint's
@@ -297,3 +298,37 @@
 		t.Errorf("%d connections, want 0", count)
 	}
 }
+
+// Guards against a limit on buffered bodies that shrinks for good: the bodies of a batch that was queued on a connection
+// which closes before the batch is written were never released.
+func TestClosedConnectionReleasesQueuedBodies(t *testing.T) {
+	const limit = 1 << 20
+	pool := newTestPool(t, nil)
+	bodies := bufferpool.NewPool(limit)
+	_, accepted, _ := pool.sendOnNewConn(t)
+	pool.mu.Lock()
+	conn := pool.peers[peerKey{"c", pool.Addr().String()}].conns[0]
+	conn.writing = true // another goroutine writes
+	pool.mu.Unlock()
+	call := pool.call("b")
+	body, err := bodies.ReadBody(strings.NewReader(strings.Repeat("x", limit/2)), limit/2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	call.Body = body
+	pool.mu.Lock()
+	call.Body.Retain()
+	call.conn = conn
+	conn.calls[call.id()] = call
+	conn.queue = append(conn.queue, outgoing{call: call})
+	conn.close()
+	pool.mu.Unlock()
+	conn.flush()
+	body.Release()
+	accepted.Close()
+	testsupport.WaitUntil(t, "room for as much again", func() bool {
+		again, err := bodies.ReadBody(strings.NewReader(strings.Repeat("x", limit)), limit)
+		again.Release()
+		return err == nil
+	})
+}
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -43,6 +43,7 @@
 		if len(batch) == 0 || c.closed {
 			c.writing = false
 			c.pool.mu.Unlock()
+			discard(batch)
 			return
 		}
 		now := time.Now()
@@ -60,6 +61,15 @@
 	}
 }
 
+// discard releases what the items of a closed connection's queue hold. Their calls are ended by end.
+func discard(queue []outgoing) {
+	for _, item := range queue {
+		if item.call != nil {
+			item.call.Body.Release()
+		}
+	}
+}
+
 // write writes a batch and reports the calls in it that were not sent. A call whose
 // decision has expired ends with OutcomeSkipped. A call whose last byte the kernel did
 // not accept can't have been received completely, and ends with
