Write the DROP of an attempt before the next one where hedging is barred

Cause: a DROP waits in its connection's queue while another goroutine writes there, up to 100 ms, and the request's next attempt went out at once on another connection.

Evidence: TestNextAttemptIsSentAfterTheDrop forces the order and failed before: "the next attempt is sent before the drop".

Mend: the pool keeps the drops that are queued and not written; the request's next attempt is sent by whoever writes the drop, or when its connection closes, which gives the attempt up as well. Its body is held meanwhile. Where hedging is permitted nothing waits, which the test checks, too.

Looked at for the same fault: a connection that closes at a drop (drained or suspect) is closed before Drop returns; health checks have ids of their own.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -44,6 +44,8 @@
 	PollBackoffMin        time.Duration // after the first failed poll; doubles with each further one
 	PollBackoffMax        time.Duration // upper bound of the backoff
 
+	Hedging bool // a request may have two attempts in flight
+
 	// The phases of a shutdown after SIGTERM, in this order.
 	ShutdownAcceptTime time.Duration // new connections are still accepted
 	ShutdownServeTime  time.Duration // requests on open connections are still served
@@ -87,6 +89,8 @@
 
 		ShutdownAcceptTime: 450 * time.Millisecond,
 		ShutdownServeTime:  250 * time.Millisecond,
+
+		Hedging: s.Limits.SecondCopies,
 	}
 	limits.divideMemory(int64(memoryMB)<<20, sockets)
 	limits.deriveTimes(s)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -23,6 +23,7 @@
 	Write          bool             // the response carries no copy of an object
 
 	conn      *conn     // set by Send, which returns before Drop may be called; nil: not sent
+	waitedIn  *Pool     // nil, or the pool in which the call waited for a drop: its lock guards conn
 	writtenAt time.Time // when the write of its batch began; guarded by Pool.mu
 }
 
@@ -41,7 +42,7 @@
 // connection then has received nothing since the attempt was written, the machine may
 // be unreachable, and the connection accepts no new work.
 func (c *Call) Drop(timedOut bool) {
-	conn := c.conn
+	conn := c.sentOn()
 	if conn == nil {
 		return
 	}
@@ -62,9 +63,20 @@
 		pool.mu.Unlock()
 		return
 	}
+	pool.dropQueued(c.id())
 	conn.enqueueAndUnlock(outgoing{drop: c.id()})
 }
 
+// sentOn returns the connection that the call was queued on; nil: none yet. A call that has
+// begun was queued on one.
+func (c *Call) sentOn() *conn {
+	if c.waitedIn != nil {
+		c.waitedIn.mu.Lock()
+		defer c.waitedIn.mu.Unlock()
+	}
+	return c.conn
+}
+
 // command returns the attempt's command, written at now, in Unix microseconds. The
 // protocol's times are whole milliseconds. A maximum age is rounded down, since older
 // copies are not permitted, but to no less than 1: 0 selects the class's default.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -123,7 +123,7 @@
 	c.calls, c.queue, c.healthChecks = map[string]*Call{}, nil, nil
 	c.pool.mu.Unlock()
 	c.logEnd(err, len(calls))
-	discard(queue)
+	c.discard(queue)
 	for _, call := range calls {
 		outcome := policy.OutcomeConnectionReset
 		if call.Attempt.Withdraw() {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,11 +24,13 @@
 	reportResult ResultFunc
 	log          *logrus.Entry
 
-	mu        sync.Mutex
-	peers     map[peerKey]*peer // one whose last connection closes is removed
-	connCount int
-	maxConns  int
-	closed    bool
+	mu    sync.Mutex
+	peers map[peerKey]*peer // one whose last connection closes is removed
+	// unwrittenDrops is empty where hedging is permitted; by the id of the request.
+	unwrittenDrops map[string]*unwrittenDrop
+	connCount      int
+	maxConns       int
+	closed         bool
 }
 
 // peerKey is an endpoint's id and address. An endpoint that changes either of them
@@ -47,12 +49,13 @@
 // reportResult.
 func New(limits *config.Limits, bodies *bufferpool.Pool, reportResult ResultFunc, log *logrus.Entry) *Pool {
 	return &Pool{
-		limits:       limits,
-		bodies:       bodies,
-		reportResult: reportResult,
-		log:          log,
-		peers:        map[peerKey]*peer{},
-		maxConns:     limits.MaxUpstreamConns,
+		limits:         limits,
+		bodies:         bodies,
+		reportResult:   reportResult,
+		log:            log,
+		peers:          map[peerKey]*peer{},
+		unwrittenDrops: map[string]*unwrittenDrop{},
+		maxConns:       limits.MaxUpstreamConns,
 	}
 }
 
@@ -67,12 +70,17 @@
 
 // Send queues an attempt on a connection, and opens one if needed. If no connection can
 // accept the attempt, Send reports OutcomeConnectionRefused before it returns. A withdrawn
-// attempt is ignored.
+// attempt is ignored. Where hedging is not permitted, an attempt waits until the drop of
+// its request's previous one is written.
 func (p *Pool) Send(call *Call) {
 	if call.Attempt.Withdrawn() { // its request ended before Send was called
 		return
 	}
 	p.mu.Lock()
+	if p.awaitDrop(call) {
+		p.mu.Unlock()
+		return
+	}
 	conn := p.selectConn(p.ensurePeer(call.Attempt.Endpoint), call.id())
 	if conn == nil {
 		p.mu.Unlock()
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -332,3 +332,47 @@
 		return err == nil
 	})
 }
+
+// Guards against a second attempt of a request that reaches its endpoint before the first one is given up, on a site that
+// does not permit both at once: the DROP waits behind what another goroutine is writing to the first connection.
+func TestNextAttemptIsSentAfterTheDrop(t *testing.T) {
+	for _, hedging := range []bool{false, true} {
+		pool := newTestPool(t, func(limits *config.Limits) { limits.Hedging = hedging })
+		first, _, firstReader := pool.sendOnNewConn(t)
+		pool.mu.Lock()
+		conn := pool.peers[peerKey{"c", pool.Addr().String()}].conns[0]
+		conn.writing = true // another goroutine writes
+		pool.mu.Unlock()
+		first.Drop(false)
+		second := pool.call("a")
+		pool.Send(second)
+		pool.mu.Lock()
+		conns := len(conn.peer.conns) // the second attempt needs a connection of its own
+		pool.mu.Unlock()
+		if sent := conns > 1; sent != hedging {
+			t.Errorf("hedging %v: the next attempt is sent before the drop: %v", hedging, sent)
+		}
+		conn.flush()
+		if !hedging {
+			pool.accept(t) // the second attempt
+		}
+		firstReader.ReadString('\n') // the end of the empty body
+		if line, _ := firstReader.ReadString('\n'); line != "DROP a\r\n" {
+			t.Errorf("hedging %v: read %q, want a drop of a", hedging, line)
+		}
+	}
+}
+
+// Guards against an attempt that waits for good for the DROP of the one before, whose connection closes.
+func TestNextAttemptIsSentAfterTheConnectionOfTheDropClosed(t *testing.T) {
+	pool := newTestPool(t, nil)
+	first, accepted, _ := pool.sendOnNewConn(t)
+	pool.mu.Lock()
+	conn := pool.peers[peerKey{"c", pool.Addr().String()}].conns[0]
+	conn.writing = true // another goroutine writes
+	pool.mu.Unlock()
+	first.Drop(false)
+	pool.Send(pool.call("a"))
+	accepted.Close() // ends the connection, and with it the wait
+	pool.accept(t)
+}
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -43,7 +43,7 @@
 		if len(batch) == 0 || c.closed {
 			c.writing = false
 			c.pool.mu.Unlock()
-			discard(batch)
+			c.discard(batch)
 			return
 		}
 		now := time.Now()
@@ -58,14 +58,23 @@
 			c.close()
 			c.pool.mu.Unlock()
 		}
+		for _, item := range batch {
+			if item.drop != "" {
+				c.pool.dropDone(item.drop)
+			}
+		}
 	}
 }
 
-// discard releases what the items of a closed connection's queue hold. Their calls are ended by end.
-func discard(queue []outgoing) {
+// discard releases what the items of a closed connection's queue hold. Their calls are
+// ended by end.
+func (c *conn) discard(queue []outgoing) {
 	for _, item := range queue {
-		if item.call != nil {
+		switch {
+		case item.call != nil:
 			item.call.Body.Release()
+		case item.drop != "":
+			c.pool.dropDone(item.drop)
 		}
 	}
 }
