Hand reservations on as they are, and bind a purge's age no longer than before

A generation dropped reservations that the one before had handed on (TestStateHandedOverBetweenPrograms), and the adapter sent AgeMs for some tenths of a second more after a purge had settled (TestAdapterBesideEarlierAdapter).

Mend: only the slots of warm work are summed up for the next process. The age of a purge binds as long as before, unless a copy has violated it.

TestStateHandedOverBetweenPrograms passes unchanged.

--- a/internal/policy/purgeage.go
+++ b/internal/policy/purgeage.go
@@ -27,13 +27,13 @@
 func (r *Router) maxAge(req *request, grace int64) int64 {
 	age := req.class.freshFor + grace
 	for _, p := range r.purges {
-		if r.settled(&p) || !p.covers(req) {
-			continue
-		}
 		since := r.now - p.at
 		if p.violated { // the ages that caches compute, or the clocks, are unreliable
 			since = r.now - p.receivedAt
 		}
+		if since >= r.config.purgeSettleTime+purgeMargin || !p.covers(req) {
+			continue
+		}
 		since = max(since-purgeMargin, 1)
 		if age == 0 || since < age {
 			age = since
@@ -67,12 +67,10 @@
 	return p.object == req.object || p.object == "" && p.group == req.group
 }
 
-// settled reports whether a purge has reached all caches. Its time counts from its receipt, on this router's clock alone.
-func (r *Router) settled(p *purge) bool {
-	return r.now-p.receivedAt >= r.config.purgeSettleTime+purgeMargin
-}
-
-// dropSettledPurges drops purges that have reached all caches.
+// dropSettledPurges drops purges that have reached all caches. Their time counts from their receipt, on this router's
+// clock alone.
 func (r *Router) dropSettledPurges() {
-	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool { return r.settled(&p) })
+	r.purges = slices.DeleteFunc(r.purges, func(p purge) bool {
+		return r.now-p.receivedAt > r.config.purgeSettleTime+purgeMargin
+	})
 }
--- a/internal/policy/slowstart.go
+++ b/internal/policy/slowstart.go
@@ -34,6 +34,7 @@
 	variance  float64 // by which it raised that of the endpoint's reserved work; 0 if the size is known
 	key       uint64  // hash of the object and its part; 0: of several
 	deviation float64 // standard deviation of the work
+	slot      bool    // work sent to a warm endpoint
 }
 
 // slowStartedAt returns the time at which an endpoint's slow start began. A readmitted cache may have been restarted: it
@@ -104,6 +105,7 @@
 		slot := max(r.config.overloadWindow/warmSlots, 1)
 		added.at = (r.now/slot + 1) * slot
 		added.key = 0
+		added.slot = true
 		if last := len(ep.reservations) - 1; last >= 0 && ep.reservations[last].at == added.at {
 			ep.reservations[last].work += added.work
 			ep.reservations[last].variance += added.variance
@@ -113,19 +115,24 @@
 	ep.reservations = append(ep.reservations, added)
 }
 
-// recentWork returns an endpoint's reservations for another process. Those of a warm endpoint are summed up, to keep the
-// state of a large fleet small.
-func (r *Router) recentWork(ep *endpoint) []reservation {
-	r.dropReservations(ep)
-	if len(ep.reservations) == 0 || !r.warm(ep) {
-		return ep.reservations
-	}
-	sum := reservation{at: ep.reservations[len(ep.reservations)-1].at}
+// recentWork returns an endpoint's reservations for another process. The slots are summed up, to keep the state of a
+// large fleet small.
+func (ep *endpoint) recentWork() []reservation {
+	var list []reservation
+	var sum reservation
 	for _, reserved := range ep.reservations {
+		if !reserved.slot {
+			list = append(list, reserved)
+			continue
+		}
+		sum.at = max(sum.at, reserved.at)
 		sum.work += reserved.work
 		sum.variance += reserved.variance
 	}
-	return []reservation{sum}
+	if sum.at > 0 {
+		list = append(list, sum)
+	}
+	return list
 }
 
 // dropReservations drops reservations older than the overload window.
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -177,7 +177,7 @@
 	if len(ep.reservations) > warmSlots+1 {
 		t.Errorf("%d reservations, want at most %d", len(ep.reservations), warmSlots+1)
 	}
-	if sum := r.recentWork(ep); len(sum) != 1 || sum[0].work < 9_900*millisecond || sum[0].work > 10_400*millisecond {
+	if sum := ep.recentWork(); len(sum) != 1 || sum[0].work < 9_900*millisecond || sum[0].work > 10_400*millisecond {
 		t.Errorf("handed on: %+v, want the work of one window of 1 s", sum)
 	}
 }
--- a/internal/policy/snapshot.go
+++ b/internal/policy/snapshot.go
@@ -100,7 +100,7 @@
 		snapshot.BypassLimiters[i] = r.bypassLimiters[i].snapshot()
 	}
 	for _, ep := range r.ordered {
-		snapshot.Endpoints = append(snapshot.Endpoints, ep.snapshot(r.recentWork(ep)))
+		snapshot.Endpoints = append(snapshot.Endpoints, ep.snapshot())
 	}
 	for name, class := range r.classes {
 		if len(class.transferTimes) > 0 {
@@ -113,7 +113,7 @@
 	return snapshot
 }
 
-func (ep *endpoint) snapshot(recentWork []reservation) EndpointSnapshot {
+func (ep *endpoint) snapshot() EndpointSnapshot {
 	out := EndpointSnapshot{
 		ID:            ep.id,
 		StartedAt:     ep.startedAt,
@@ -124,7 +124,7 @@
 		SourceSamples: snapshotSamples(ep.sourceSamples),
 		CachedObjects: slices.Clone(ep.cached),
 	}
-	for _, p := range recentWork {
+	for _, p := range ep.recentWork() {
 		out.ReservedAt = append(out.ReservedAt, p.at)
 		out.ReservedWork = append(out.ReservedWork, p.work)
 		out.ReservedVariance = append(out.ReservedVariance, p.variance)
