--- a/cmd/quilldoor/earlierprogram_test.go
+++ b/cmd/quilldoor/earlierprogram_test.go
@@ -15,6 +15,9 @@
 	// data or messages.
 	previousCommit = "53cc78ce570e0fc618b51a311cf74952d0f4c871"
 
+	// decisionsCommit is the last commit that changed decisions on purpose.
+	decisionsCommit = "a6c32fd14b891f73443d254dbd90e6ba9dbca0fb"
+
 	// earlierProgramVariable is the environment variable with the path of a built quilldoor that
 	// these tests use in place of previousCommit's.
 	earlierProgramVariable = "QUILLDOOR_TEST_EARLIER_PROGRAM"
