Keep the process alive that holds the lock in TestLockOfAnotherProcess

Cause: the test. Its other process blocks in select {} without a timer, so that the runtime ends it as a deadlock right after it has said that it holds the lock, and the lock goes with it; whoever is first decides.

Evidence: run by hand, the other process prints "held" and then "fatal error: all goroutines are asleep - deadlock!".

The other process sleeps until it is killed and keeps its store. The checks are as they were.

--- a/internal/diskcache/diskstore/diskstore_test.go
+++ b/internal/diskcache/diskstore/diskstore_test.go
@@ -7,8 +7,10 @@
 	"maps"
 	"os"
 	"os/exec"
+	"runtime"
 	"slices"
 	"testing"
+	"time"
 
 	"quilldoor/internal/crashfs"
 	"quilldoor/internal/diskcache"
@@ -135,11 +137,13 @@
 // releases its lock. The test runs its own program again as the other process.
 func TestLockOfAnotherProcess(t *testing.T) {
 	if path := os.Getenv("QUILLDOOR_TEST_LOCK"); path != "" {
-		if _, err := diskstore.Open(diskstore.Dir{Path: path}, superblock); err != nil {
+		store, err := diskstore.Open(diskstore.Dir{Path: path}, superblock)
+		if err != nil {
 			t.Fatal(err)
 		}
 		os.Stdout.WriteString("held\n")
-		select {} // until the test kills this process
+		time.Sleep(time.Minute) // the test kills this process; without a timer the runtime would end it as a deadlock
+		runtime.KeepAlive(store)
 	}
 	dir := t.TempDir()
 	other := exec.Command(os.Args[0], "-test.run=^TestLockOfAnotherProcess$")
