Write a response that is decided late instead of closing its connection

Cause: exchange.write set the write deadline to the request's deadline and 50 ms (ResponseGrace). Where the final command came later, the deadline had passed before the write began, nothing was written and serve closed the connection.

Why it works: the bound counts from the start of the write, as for errors, so it never lies in the past; a client that reads nothing still ends it.

Looked at for the same fault: respondEmpty, 100 Continue, upstream writes, the gateway's and the hand-over's writes (all count from the write); copies from the disk cache go through the same function.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -30,8 +30,8 @@
 	MaxRequestTimeout     time.Duration // longer timeouts of clients are reduced to it
 	RequestReadTimeout    time.Duration // from a request's first byte, or the start of the connection for its first request, to the last byte
 	ClientIdleTimeout     time.Duration // between two requests
-	LingeringCloseTimeout time.Duration // for writing a rejection and discarding the rest of the request
-	ResponseGrace         time.Duration // past a request's deadline, for a client that reads slowly
+	LingeringCloseTimeout time.Duration // for writing an error or a late response, and for discarding the rest of a request
+	ResponseGrace         time.Duration // past a request's deadline, for a client that reads a timely response slowly
 	ConnectTimeout        time.Duration // of a connection to an endpoint
 	MaxDecisionAge        time.Duration // age of the decision on an attempt when the attempt is written
 	UpstreamIdleTimeout   time.Duration // of a connection to an endpoint
--- a/internal/downstream/respond.go
+++ b/internal/downstream/respond.go
@@ -70,5 +70,16 @@
 func (x *exchange) write(status int, body *bufferpool.Body, fields ...http1.Field) bool {
 	buffers := body.AppendBuffers([][]byte{nil})
 	buffers[0] = http1.AppendResponse(nil, status, body.Len(), x.closeAfter, fields...)
-	return x.client.write(x.deadline.Add(x.server.limits.ResponseGrace), buffers...) == nil
+	return x.client.write(x.writeDeadline(time.Now()), buffers...) == nil
+}
+
+// writeDeadline returns by when a response must be written whose write begins now. It is
+// in the future however late the response is: its client may still wait for it.
+func (x *exchange) writeDeadline(now time.Time) time.Time {
+	limits := x.server.limits
+	timely, late := x.deadline.Add(limits.ResponseGrace), now.Add(limits.LingeringCloseTimeout)
+	if late.After(timely) {
+		return late
+	}
+	return timely
 }
