Read requests by as many connections as there are cores, responses first

Why it works: a connection holds a read slot, one per core, while it parses one request, and none while it waits for its client or writes. The others wait in order outside the scheduler's queue, and after a wait let all go first that can run; a request that was opened needs no slot any more. A connection without others beside it never waits.

Looked at: discarding after an error (bounded to 256 KiB a connection), writes to clients that don't read (no slot held).

--- a/cmd/quilldoor/badclients_test.go
+++ b/cmd/quilldoor/badclients_test.go
@@ -47,6 +47,11 @@
 		}
 		return c.awaitErrors(100)
 	},
+	"much without end": func(c *badConnection) error {
+		go c.discard()
+		c.sendUntilClosed(strings.Repeat(unknownClassRequest, 100))
+		return nil
+	},
 	"again at once": func(c *badConnection) error {
 		for range 50 {
 			if err := c.send(unknownClassRequest); err != nil {
--- a/internal/downstream/arrival.go
+++ b/internal/downstream/arrival.go
@@ -14,9 +14,11 @@
 const maxArrivals = 16
 
 // arrivalReader records when the bytes in the client's read buffer were received,
-// and whether the stream has ended.
+// and whether the stream has ended. It doesn't keep the connection's read slot while it
+// waits for the client.
 type arrivalReader struct {
 	net.Conn
+	slot        readSlot
 	arrivals    []arrival
 	received    int64     // bytes so far
 	ended       bool      // the client closed its side, or the connection failed
@@ -31,10 +33,14 @@
 }
 
 func (a *arrivalReader) Read(b []byte) (int, error) {
+	held := a.slot.release()
 	n, err := a.Conn.Read(b)
 	if n > 0 {
 		a.recordArrival(n)
 	}
+	if held {
+		a.slot.acquire()
+	}
 	a.ended = a.ended || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -12,6 +12,7 @@
 
 // serve serves requests on a client's connection until it is closed.
 func (s *Server) serve(c *client) {
+	defer c.arrivals.slot.release()
 	defer s.remove(c)
 	defer c.lingeringClose(s.limits.LingeringCloseTimeout, s.limits.MaxDiscardBytes)
 	for s.awaitRequest(c) && s.serveRequest(c) {
@@ -49,9 +50,10 @@
 	return s.setState(c, clientSending)
 }
 
-// serveRequest reads and answers one request. False: the connection must be
-// closed.
+// serveRequest reads and answers one request. It holds a read slot until the request has
+// been parsed, but not while it writes a response. False: the connection must be closed.
 func (s *Server) serveRequest(c *client) bool {
+	c.arrivals.slot.acquire()
 	arrivedAt := c.arrivals.arrivedAt(c.reader.Buffered())
 	head, ok := s.readHead(c)
 	if !ok {
@@ -69,6 +71,8 @@
 	if !s.setState(c, clientBusy) {
 		return false
 	}
+	request, status := s.parse(head)
+	c.arrivals.slot.release()
 	closeAfter := head.Close || s.draining.Load() || s.migrating.Load()
 	if head.Target == "/health" && head.Method == http.MethodGet {
 		return s.respondEmpty(c, s.healthStatus(), closeAfter) && !closeAfter
@@ -76,7 +80,6 @@
 	if err != nil { // no buffer space for the body; the request was not executed
 		return s.respondEmpty(c, http.StatusServiceUnavailable, closeAfter) && !closeAfter
 	}
-	request, status := s.parse(head)
 	if request == nil {
 		return s.respondEmpty(c, status, closeAfter) && !closeAfter
 	}
@@ -95,6 +98,9 @@
 		MaxFields: s.limits.MaxHeaderFields,
 		MaxBody:   s.limits.MaxRequestBody,
 	})
+	if err != nil {
+		c.arrivals.slot.release()
+	}
 	var malformed *http1.Error
 	switch {
 	case errors.As(err, &malformed):
@@ -107,6 +113,7 @@
 		return nil, false
 	}
 	if head.ExpectContinue && head.ContentLength > 0 {
+		c.arrivals.slot.release()
 		if c.write(c.readDeadline, []byte("HTTP/1.1 100 Continue\r\n\r\n")) != nil {
 			return nil, false
 		}
--- a/internal/downstream/doc.go
+++ b/internal/downstream/doc.go
@@ -7,6 +7,10 @@
 // upstream carries out the attempts. A request that the policy rejects may be
 // forwarded to another site (forward.go).
 //
+// A connection holds a read slot (readslot.go) while it parses a request, but neither
+// while it waits for the client nor once the request is opened. So responses are
+// delivered ahead of new requests, however much clients send.
+//
 // Server.mu guards the set of clients and their states; it is never held during
 // blocking I/O. The server closes a connection to make room for another, or to
 // drain, only while no request is being served on it.
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -31,6 +31,7 @@
 	gateway  atomic.Pointer[gateway.Gateway]  // nil: no other site to forward to
 	recorder *invariant.Recorder              // nil: nothing is recorded
 	stats    stats
+	reads    *readSlots
 
 	// clientRate is the rate at which a response is sent to a client, in bytes per
 	// second; 0: not known.
@@ -60,6 +61,7 @@
 		limits:     limits,
 		clients:    map[*client]struct{}{},
 		maxClients: limits.MaxClients,
+		reads:      newReadSlots(),
 		startedAt:  time.Now(),
 	}
 	s.stats.classes = map[string]classStats{}
@@ -110,6 +112,12 @@
 	return len(s.clients)
 }
 
+// ReadWaits returns how often requests have waited for a read slot since the start, and
+// for how long in total.
+func (s *Server) ReadWaits() (count int64, total time.Duration) {
+	return s.reads.waits.Load(), time.Duration(s.reads.waitMicros.Load()) * time.Microsecond
+}
+
 // MonitorStalls detects stalls of the process until stop is closed.
 func (s *Server) MonitorStalls(stop <-chan struct{}) {
 	ticker := time.NewTicker(stall.TickIntervalMicros * time.Microsecond)
@@ -144,6 +152,7 @@
 		}
 		backoff = 0
 		c := newClient(socket)
+		c.arrivals.slot.slots = s.reads
 		s.admit(c)
 		go s.serve(c)
 		runtime.Gosched() // else new connections alone keep the scheduler's run queue full
