Don't serve connections whose client left before they were accepted

Callers saw dials of a second beside clients that connect, send and close at full speed: the queue of new connections overflowed, and a lost SYN is sent again after 1 s.

Cause: a connection that its client had closed in the queue was admitted as any other; it evicted another one or waited for a slot, was read, answered and answered again, 46 us each, and the queue of 4,096 filled up.

Such a connection takes no slot and no goroutine. A client that only shuts its writing side counts as gone, as it did for its requests.

Looked at: the wait for a slot in admit (a client may still leave there: it is read and found gone), idle connections (closed by their reader).

--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -153,6 +153,10 @@
 		backoff = 0
 		c := newClient(socket)
 		c.arrivals.slot.slots = s.reads
+		if c.hasDisconnected() { // while it waited to be accepted
+			c.Close()
+			continue
+		}
 		s.admit(c)
 		go s.serve(c)
 		runtime.Gosched() // else new connections alone keep the scheduler's run queue full
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -14,6 +14,7 @@
 	"quilldoor/internal/config"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/policy"
+	"quilldoor/internal/testsupport"
 )
 
 // testServer is a server with its own listener and without endpoints: the policy
@@ -299,6 +300,26 @@
 	return nil, net.ErrClosed
 }
 
+// Guards against serving clients that left before they were accepted, in the place of others.
+func TestClientThatLeftBeforeTheAcceptTakesNoSlot(t *testing.T) {
+	s := newTestServer(t, 1, 10*time.Second)
+	s.addClient(&client{state: clientBusy}) // no slot is free
+	clientEnd, serverEnd := connectedPair(t)
+	fmt.Fprintf(clientEnd, requestText, 1)
+	clientEnd.Close()
+	testsupport.WaitUntil(t, "the end of the client's stream", serverEnd.hasDisconnected)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(&lastClientListener{client: serverEnd.Conn}) }()
+	select {
+	case err := <-served: // the listener's deadline
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("Serve waits for a slot")
+	}
+}
+
 // A transient error of accept must not end Serve. All but three of these errors once
 // ended the router.
 func TestTransientAcceptErrorEndsNoListener(t *testing.T) {
