Measure a wait for a read slot once the request has arrived in its test

The test is at fault: it counted 50 ms from its own write, while the server waits from its read, which came 0.64 ms later. Now it lets the request arrive first and holds the slot for 50 ms more; the bound stays and is wholly in the time that must be counted. No code changes.

--- a/internal/downstream/readslot_test.go
+++ b/internal/downstream/readslot_test.go
@@ -22,11 +22,13 @@
 
 // Guards against parsing the requests of all clients at the same time.
 func TestRequestsWaitForAReadSlot(t *testing.T) {
+	const wait = 50 * time.Millisecond
 	s := newTestServer(t, 10, time.Minute)
 	release := s.occupyReadSlots(t)
 	client := s.connect(t)
 	fmt.Fprintf(client, requestText, 1)
-	client.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	time.Sleep(wait) // the request has arrived and waits
+	client.SetReadDeadline(time.Now().Add(wait))
 	if _, err := client.reader.Peek(1); !os.IsTimeout(err) {
 		t.Errorf("read before a slot is free: error %v, want a timeout", err)
 	}
@@ -35,8 +37,8 @@
 	if got := client.roundTrip(""); got != "503" {
 		t.Errorf("status %q, want 503", got)
 	}
-	if count, total := s.ReadWaits(); count != 1 || total < 50*time.Millisecond {
-		t.Errorf("%d waits of %v, want 1 of at least 50ms", count, total)
+	if count, total := s.ReadWaits(); count != 1 || total < wait {
+		t.Errorf("%d waits of %v, want 1 of at least %v", count, total, wait)
 	}
 }
 
