Take the pool's clock in TestExpiredDecisionIsNotWritten

The test is at fault: it set deadlines by the system's clock, while the pool compares them with internal/clock, which advances with the monotonic clock and may lie microseconds behind, so that the deadline had not passed. The product is as it was.

The three checks stay as they were.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"quilldoor/internal/bufferpool"
+	"quilldoor/internal/clock"
 	"quilldoor/internal/config"
 	"quilldoor/internal/engine"
 	"quilldoor/internal/policy"
@@ -269,7 +270,7 @@
 		"the decision is too old": func(attempt *engine.Attempt, now int64) { attempt.DecidedAt = now - 2e6 },
 	} {
 		call := pool.call("late")
-		expire(call.Attempt, time.Now().UnixMicro())
+		expire(call.Attempt, clock.Now())
 		pool.Send(call)
 		if outcome := <-pool.outcomes; outcome != policy.OutcomeSkipped {
 			t.Errorf("%s: outcome %s, want %s", name, outcome, policy.OutcomeSkipped)
