Keep late polls of discovery open, so that a slow service is heard

Cause: a poll had one deadline for the whole exchange, PollWait and PollGrace. After it the connection was closed and the same was asked with the same time, so that a service that always needs longer was never heard. Evidence: in the record of the case each poll of the slow 20 s was given up before its answer, among them those that carried the events 2 s after they happened. TestSlowServiceIsHeard failed in 4 of 4 forms before (late as a whole by two and by four waits, one poll at a time, body in pieces) and passes now.

The mend is no greater number: a poll that is late stays open, and another one goes out beside it on a second connection, at the time at which it went out before. What answers first is applied. Three polls at the most; where all are taken, one that a later poll has overtaken is given up, else the latest. By how much responses were late decides when a poll goes out beside an open one (1.5 to 3.25 s, less where 7 s could not be kept otherwise), so that a slow service gets fewer polls than before. A poll's age is bounded by 30 s and by 4 KiB/s while bytes arrive. Routers differ in their times.

Of several open polls one may be answered after a later one. Its revision below the last event's is told from a restart of the numbers by the revision that its poll asked with; after a restart, an older poll's answer counts with its purges only.

New: the log line "discovery slow, changes arrive late" with its delay apart from "discovery lost", and the metrics quilldoor_discovery_age_seconds, _polls_open, _polls_total and _bytes_total. Whether discovery is lost is kept over a reload (an entry of docs/ROADMAP.md). The disk cache counts from the end of the oldest unanswered poll's wait, or from the end of its connection, and no longer from the first poll that fails: with polls that stay open it would otherwise have served as if it knew all purges. The supervisor's monitor takes a slow service for a disconnection.

Tests in virtual time: services that are 0.3 to 4.8 s late, work in turns, send bodies in pieces or leave polls unanswered, 300 purges each, all known within 7 s, once and in order, with no more polls than before and three connections at the most; overtaken answers, restarts of the numbers with polls open, endless and long bodies, silent connections, 50 routers at once, reports over a reload.

The recorder of watcher_test.go got the two new methods of Handler; no check changed.

--- a/cmd/quilldoor/discovery.go
+++ b/cmd/quilldoor/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -89,19 +90,26 @@
 	r.log.WithFields(logrus.Fields{"object": object, "group": group, "age_ms": (clock.System() - at) / microsPerMilli}).Debug("purge")
 }
 
+// DiscoverySlow handles responses that are late by a delay.
+func (r *router) DiscoverySlow(delay time.Duration) {
+	r.log.WithField("delay_ms", delay.Milliseconds()).Warn("discovery slow, changes arrive late")
+}
+
 // DiscoveryLost handles the first failed poll in a row.
 func (r *router) DiscoveryLost(err error) {
 	r.log.WithError(err).Warn("discovery lost, the last endpoint list stays")
-	if cache := r.diskCache.Load(); cache != nil {
-		cache.SetDiscoveryLost(true)
-	}
 }
 
-// DiscoveryRestored handles the first successful poll after DiscoveryLost.
+// DiscoveryRestored handles the first response after DiscoveryLost, or the first timely ones
+// after DiscoverySlow.
 func (r *router) DiscoveryRestored() {
 	r.log.Info("discovery restored")
+}
+
+// DiscoveryOverdue handles a change of the time since which events may be unknown.
+func (r *router) DiscoveryOverdue(since time.Time) {
 	if cache := r.diskCache.Load(); cache != nil {
-		cache.SetDiscoveryLost(false)
+		cache.SetDiscoveryOverdue(since)
 	}
 }
 
--- a/cmd/quilldoor/metrics.go
+++ b/cmd/quilldoor/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"quilldoor/internal/discovery"
 	"quilldoor/internal/diskcache"
 	"quilldoor/internal/diskcache/diskrunner"
 	"quilldoor/internal/gossip"
@@ -74,6 +75,7 @@
 	readWaits, readWaitTime := r.downstream.ReadWaits()
 	set.counter(readWaits, "read_waits_total")
 	set.gauge(readWaitTime.Seconds(), "read_wait_seconds_total")
+	collectDiscovery(set, r.watcher.Status())
 	if r.membership != nil {
 		r.collectMembership(set)
 	}
@@ -85,6 +87,15 @@
 	}
 }
 
+func collectDiscovery(set metricSet, status discovery.Status) {
+	set.gauge(float64(status.OpenPolls), "discovery_polls_open")
+	set.counter(status.SentPolls, "discovery_polls_total")
+	set.counter(status.Bytes, "discovery_bytes_total")
+	if !status.KnownAt.IsZero() {
+		set.gauge(time.Since(status.KnownAt).Seconds(), "discovery_age_seconds")
+	}
+}
+
 func collectDiskCache(set metricSet, state diskrunner.State) {
 	counts := &state.Counts
 	for i := range diskcache.ReasonCount {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -40,9 +40,11 @@
 	ReadStallTimeout      time.Duration // between two reads of a response
 	LateResponseWindow    time.Duration // in which the response to an abandoned attempt may still arrive
 	PollWait              time.Duration // how long the discovery service may hold a poll
-	PollGrace             time.Duration // beyond PollWait until a poll fails
-	PollBackoffMin        time.Duration // after the first failed poll; doubles with each further one
+	PollGrace             time.Duration // beyond PollWait until a poll is late, and for connecting to the discovery service
+	PollBackoffMin        time.Duration // after the first failed or late poll; doubles with each further one
 	PollBackoffMax        time.Duration // upper bound of the backoff
+	PollLossTime          time.Duration // past PollWait, or a broken connection, until the router is expected to know of the events meanwhile
+	EventDeliveryTime     time.Duration // until the router is expected to know of any event of the discovery service
 
 	Hedging bool // a request may have two attempts in flight
 
@@ -80,12 +82,14 @@
 		LingeringCloseTimeout: 400 * time.Millisecond,
 		ResponseGrace:         50 * time.Millisecond,
 
-		WriteTimeout:     100 * time.Millisecond,
-		ReadStallTimeout: 400 * time.Millisecond,
-		PollWait:         time.Second,
-		PollGrace:        500 * time.Millisecond,
-		PollBackoffMin:   20 * time.Millisecond,
-		PollBackoffMax:   250 * time.Millisecond,
+		WriteTimeout:      100 * time.Millisecond,
+		ReadStallTimeout:  400 * time.Millisecond,
+		PollWait:          time.Second,
+		PollGrace:         500 * time.Millisecond,
+		PollBackoffMin:    20 * time.Millisecond,
+		PollBackoffMax:    250 * time.Millisecond,
+		PollLossTime:      2 * time.Second, // this and the next are the platform's
+		EventDeliveryTime: 7 * time.Second,
 
 		ShutdownAcceptTime: 450 * time.Millisecond,
 		ShutdownServeTime:  250 * time.Millisecond,
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -2,7 +2,10 @@
 
 import (
 	"maps"
+	"net"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"quilldoor/internal/config"
 	"quilldoor/internal/engine"
@@ -20,11 +23,21 @@
 	// Purge receives the purge of an object, or of a group if object is "". It was
 	// made at the time at, in Unix microseconds.
 	Purge(object string, group, at int64)
-	// DiscoveryLost receives the error of the first failed poll in a row.
+	// DiscoverySlow reports that responses are late by a delay beyond the time for
+	// which the service may hold a poll, and again when the delay has doubled.
+	// Events arrive late meanwhile.
+	DiscoverySlow(delay time.Duration)
+	// DiscoveryLost receives the error of the first failed poll in a row, or that
+	// no response has arrived for long.
 	DiscoveryLost(err error)
-	// DiscoveryRestored reports the first successful poll after DiscoveryLost,
-	// before the poll's events.
+	// DiscoveryRestored reports the first response after DiscoveryLost, or the
+	// first timely ones after DiscoverySlow, before the response's events.
 	DiscoveryRestored()
+	// DiscoveryOverdue receives the time since which events may be unknown, when it
+	// changes: the oldest unanswered poll should have been answered, or its
+	// connection has failed. The time may be in the future. Zero: no poll is
+	// unanswered.
+	DiscoveryOverdue(since time.Time)
 	// DiscoveryGap reports that events were missed, or that the service has
 	// restarted its revision numbers. The report of missed events follows the
 	// events of the update that shows the gap. The report of a restart precedes
@@ -41,19 +54,35 @@
 	hasList     bool                       // a list was received
 	endpoints   map[string]engine.Endpoint // the service's list, by id
 	gapRevision int64                      // the last revision that was reported as a gap because its event was missing
-	address     string
-	conn        *pollConn // nil: none is open
+	numbering   int                        // how often the service has restarted its revision numbers
+	renumbered  bool                       // no event since the last restart of the revision numbers was received
 
-	renumbered bool // the service has restarted its revision numbers, and no event since then was received
+	dial          dialFunc
+	schedule      schedule
+	lastSequence  int // of the polls
+	receivedBytes atomic.Int64
+	health        health
+	reportedDelay time.Duration // of a slow service
+	overdueSince  time.Time     // as reported
+	status        atomic.Pointer[Status]
 }
 
 // New returns a watcher at revision 0, with an empty list.
 func New(limits *config.Limits, handler Handler) *Watcher {
-	return &Watcher{limits: limits, handler: handler, endpoints: map[string]engine.Endpoint{}}
+	w := &Watcher{
+		limits:    limits,
+		handler:   handler,
+		endpoints: map[string]engine.Endpoint{},
+		dial:      (&net.Dialer{}).DialContext,
+		schedule:  newSchedule(limits),
+	}
+	w.updateStatus()
+	return w
 }
 
 // Apply passes the new events of an update to the handler: those whose revision is above
-// that of the last event. An update with a lower revision means that the service has
+// that of the last event. The update is a response to a poll with the revision of the last
+// event, or the initial list of a configuration. An update with a lower revision means that the service has
 // restarted its revision numbers. Its events then apply from the first one on. If the
 // update doesn't have the first event, the next poll requests it.
 func (w *Watcher) Apply(update *Update) {
@@ -61,6 +90,8 @@
 		w.revision = 0
 		w.gapRevision = 0
 		w.renumbered = true
+		w.numbering++
+		w.schedule.overtakeAll()
 		w.handler.DiscoveryGap()
 		if len(update.Events) > 0 && update.Events[0].Revision > 1 {
 			return // they respond to a poll with the old revision, so the first events are missing
@@ -150,6 +181,15 @@
 	return list
 }
 
+// applyPurges passes the purges of an update to the handler.
+func (w *Watcher) applyPurges(update *Update) {
+	for _, event := range update.Events {
+		if event.Purge != nil {
+			w.applyPurge(event.Purge)
+		}
+	}
+}
+
 // applyPurge passes a purge to the handler.
 func (w *Watcher) applyPurge(purge *purge) {
 	var object string
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -29,9 +29,11 @@
 func (r recorder) Purge(object string, group, at int64) {
 	r <- fmt.Sprintf("purge %q %d %d", object, group, at)
 }
-func (r recorder) DiscoveryLost(error) { r <- "lost" }
-func (r recorder) DiscoveryRestored()  { r <- "restored" }
-func (r recorder) DiscoveryGap()       { r <- "gap" }
+func (r recorder) DiscoverySlow(time.Duration) { r <- "slow" }
+func (r recorder) DiscoveryLost(error)         { r <- "lost" }
+func (r recorder) DiscoveryRestored()          { r <- "restored" }
+func (r recorder) DiscoveryOverdue(time.Time)  {}
+func (r recorder) DiscoveryGap()               { r <- "gap" }
 
 // Events with a revision that was applied before must not be applied again.
 func TestApplyHandsOnNewEventsInOrder(t *testing.T) {
--- a/internal/diskcache/diskrunner/cache.go
+++ b/internal/diskcache/diskrunner/cache.go
@@ -32,11 +32,11 @@
 	log          *logrus.Entry
 	classIndexes map[string]int // class name -> index in Settings.Classes
 
-	mu            sync.Mutex        // guards the four fields below
-	policy        *diskcache.Policy // nil until the directory has been opened
-	stepDetector  diskcache.StepDetector
-	discoveryLost bool
-	readTimes     *hdrhistogram.Histogram // microseconds
+	mu               sync.Mutex        // guards the four fields below
+	policy           *diskcache.Policy // nil until the directory has been opened
+	stepDetector     diskcache.StepDetector
+	discoveryOverdue time.Time               // since when purges may be unknown; zero: all are known
+	readTimes        *hdrhistogram.Histogram // microseconds
 
 	ready      atomic.Bool // recovery has completed
 	store      *diskstore.Store
@@ -142,13 +142,23 @@
 	}
 }
 
-// SetDiscoveryLost sets whether discovery is unreachable.
-func (c *Cache) SetDiscoveryLost(lost bool) {
+// SetDiscoveryOverdue sets since when purges may be unknown because discovery has not told them.
+// The time may be in the future. Zero: all purges are known.
+func (c *Cache) SetDiscoveryOverdue(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.discoveryLost = lost
+	c.discoveryOverdue = since
 	if c.policy != nil {
-		c.policy.SetDiscoveryLost(c.now(), lost)
+		c.applyDiscoveryOverdue()
+	}
+}
+
+// applyDiscoveryOverdue passes the time to the policy. The caller holds the lock.
+func (c *Cache) applyDiscoveryOverdue() {
+	now := c.now()
+	c.policy.SetDiscoveryLost(now, false)
+	if !c.discoveryOverdue.IsZero() {
+		c.policy.SetDiscoveryLost(now-time.Since(c.discoveryOverdue).Microseconds(), true)
 	}
 }
 
--- a/internal/diskcache/diskrunner/recovery.go
+++ b/internal/diskcache/diskrunner/recovery.go
@@ -24,7 +24,7 @@
 	now := c.now()
 	c.store = store
 	c.policy = diskcache.New(now, *settings)
-	c.policy.SetDiscoveryLost(now, c.discoveryLost)
+	c.applyDiscoveryOverdue()
 	c.mu.Unlock()
 
 	restorer := newRestorer(c)
--- a/internal/supervisor/observer.go
+++ b/internal/supervisor/observer.go
@@ -101,16 +101,25 @@
 	o.enqueue(func(now int64) { o.monitor.Purged(now, object, group, at) })
 }
 
+// DiscoverySlow handles late responses. For the monitor it is a disconnection: the processes
+// may receive events much earlier or later than this observer.
+func (o *observer) DiscoverySlow(time.Duration) {
+	o.enqueue(func(now int64) { o.monitor.SetDisconnected(now, true) })
+}
+
 // DiscoveryLost handles the first failed poll in a row.
 func (o *observer) DiscoveryLost(error) {
 	o.enqueue(func(now int64) { o.monitor.SetDisconnected(now, true) })
 }
 
-// DiscoveryRestored handles the first successful poll after DiscoveryLost.
+// DiscoveryRestored handles the end of a DiscoveryLost or DiscoverySlow.
 func (o *observer) DiscoveryRestored() {
 	o.enqueue(func(now int64) { o.monitor.SetDisconnected(now, false) })
 }
 
+// DiscoveryOverdue does nothing: the monitor allows for events that arrive late.
+func (o *observer) DiscoveryOverdue(time.Time) {}
+
 // DiscoveryGap handles a possible loss of events. For the monitor it is a disconnection
 // that ends at once.
 func (o *observer) DiscoveryGap() {
