Let the disk cache's trust in silent discovery end with the platform's times

Cause: discoveryLossLimit was a figure of its own, 2 s, and counted from the first poll that failed, 1.5 s after it was sent. The limit now follows from config.Limits.PollLossTime and PurgeGraceMs.

Looked at for the same: the gateway and the policy keep no time of their own for a lost discovery.

startDiskCacheTest takes its replacements as an argument; its checks are as they were.

--- a/cmd/quilldoor/diskcache.go
+++ b/cmd/quilldoor/diskcache.go
@@ -14,9 +14,12 @@
 	"quilldoor/internal/policy"
 )
 
-// discoveryLossLimit is how long discovery may be unreachable, a few polls, before purges
-// count as missed and each copy on disk is revalidated when it is requested.
-const discoveryLossLimit = 2 * time.Second
+// discoveryLossLimit returns how long events may be overdue until each copy on disk is revalidated
+// when it is requested: until the router is expected to know of a purge among them, and the grace
+// in which older copies may still be sent.
+func (r *router) discoveryLossLimit() int64 {
+	return r.limits.PollLossTime.Microseconds() + r.policy.Hierarchy.PurgeGrace
+}
 
 // openDiskCache starts the disk cache as configured in the operator's file.
 func (r *router) openDiskCache(file *operatorconfig.DiskCache) error {
@@ -57,7 +60,7 @@
 		LinkBytesPerSecond:  r.config.LinkBytesPerSecond,
 		PurgeTime:           r.policy.Hierarchy.PurgeSettleTime,
 		MaxRequestTime:      r.limits.MaxRequestTimeout.Microseconds(),
-		DiscoveryLossLimit:  discoveryLossLimit.Microseconds(),
+		DiscoveryLossLimit:  r.discoveryLossLimit(),
 	}, nil
 }
 
--- a/cmd/quilldoor/diskcache_test.go
+++ b/cmd/quilldoor/diskcache_test.go
@@ -29,6 +29,13 @@
 
 // startDiskCacheTest starts a router whose copies are fresh for 1.5 s.
 func startDiskCacheTest(t *testing.T) *diskCacheTest {
+	t.Helper()
+	return startDiskCacheTestWith(t, strings.NewReplacer(`"NotesGiven":"all"`,
+		`"NotesGiven":"all","GoodForMs":[1500,0],"ClassGraceMs":[60000,0],"ClearedWithinMs":1`))
+}
+
+// startDiskCacheTestWith starts a router whose configuration is changed by a replacer.
+func startDiskCacheTestWith(t *testing.T, changes *strings.Replacer) *diskCacheTest {
 	t.Helper()
 	dir := t.TempDir()
 	operatorFile := filepath.Join(t.TempDir(), "own.yaml")
@@ -36,10 +43,8 @@
 	test := &diskCacheTest{body: strings.Repeat("video", 200)}
 	test.mode.Store(cacheServes)
 	test.cache = newFakeEndpoint(t, test.respond)
-	freshness := strings.NewReplacer(`"NotesGiven":"all"`,
-		`"NotesGiven":"all","GoodForMs":[1500,0],"ClassGraceMs":[60000,0],"ClearedWithinMs":1`)
 	addr := test.cache.Addr().String()
-	router := startRouterWith(t, addr, addr, operatorFile, freshness)
+	router := startRouterWith(t, addr, addr, operatorFile, changes)
 	router.waitForLog(t, "disk cache recovered")
 	time.Sleep(150 * time.Millisecond) // copies issued from now on are newer than any purge unknown to the router
 	test.client = dial(t, router.addr)
