Play slow discovery services among processes, with and without gossip

The emulator's discovery answered at once, so that no play could show that a slow service is never heard.

On the virtual clock nothing changes. Renamed: a local variable in health.go.

--- a/internal/discovery/health.go
+++ b/internal/discovery/health.go
@@ -36,8 +36,8 @@
 // reportResponse reports what a response says about the service, before its events.
 func (w *Watcher) reportResponse(lateness time.Duration, now time.Time) {
 	isSlow := lateness > w.schedule.grace
-	wasSlow := w.schedule.delay > w.schedule.grace || w.schedule.lateBy(now) > 0
-	if w.health == healthLost || w.health == healthSlow && !isSlow && !wasSlow {
+	stillSlow := w.schedule.delay > w.schedule.grace || w.schedule.lateBy(now) > 0
+	if w.health == healthLost || w.health == healthSlow && !isSlow && !stillSlow {
 		w.health = healthGood
 		w.reportedDelay = 0
 		w.handler.DiscoveryRestored()
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -31,6 +31,7 @@
 	log          logTail
 	starveTicker *time.Ticker // ticks when the next pause begins; nil: the process is not starved
 
+	slowness          *slowDiscovery // of the router's discovery service; nil: it answers at once
 	discoveryListener net.Listener
 	discoveryEvents   []json.RawMessage          // by revision, from 1; a start of the process begins a new list
 	eventPosted       chan struct{}              // closed when the next discovery event is posted
@@ -67,6 +68,9 @@
 	if r.discoveryListener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
+	if r.config.SlowDiscovery {
+		r.slowness = newSlowDiscovery(r.options.Seed, r.id)
+	}
 	server := &http.Server{Handler: http.HandlerFunc(r.serveLongPoll), ReadTimeout: discoveryReadTimeout}
 	r.goroutines.Go(func() { _ = server.Serve(r.discoveryListener) }) // returns when the listener is closed
 	r.goroutines.Go(func() {
--- a/internal/emulator/process_discovery.go
+++ b/internal/emulator/process_discovery.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +12,9 @@
 	"quilldoor/internal/simulation"
 )
 
+// maxUnansweredTime is how long a connection stays open whose poll gets no response.
+const maxUnansweredTime = 20 * time.Second
+
 // maxLingerMillis is the longest time that a poll waits for an event.
 const maxLingerMillis = 5000
 
@@ -60,8 +62,21 @@
 	UnixMS int64  `json:"ms"`
 }
 
-// Notify posts an event to a router's discovery service.
+// Notify posts an event to a router's discovery service, unless Announced has posted it.
 func (s *socketRun) Notify(routerID int, event simulation.DiscoveryEvent) {
+	if !s.config.SlowDiscovery {
+		s.post(routerID, event)
+	}
+}
+
+// Announced posts an event to a slow discovery service, before the router counts as notified.
+func (s *socketRun) Announced(routerID int, event simulation.DiscoveryEvent) {
+	if s.config.SlowDiscovery {
+		s.post(routerID, event)
+	}
+}
+
+func (s *socketRun) post(routerID int, event simulation.DiscoveryEvent) {
 	process := s.routers[routerID]
 	revision := len(process.discoveryEvents) + 1
 	if !event.Purge {
@@ -122,6 +137,10 @@
 // serveLongPoll answers a poll for the events after a revision: immediately if there are any,
 // otherwise at the next event or when the poll's linger time has passed.
 func (r *routerProcess) serveLongPoll(w http.ResponseWriter, request *http.Request) {
+	if r.slowness != nil && r.slowness.leavesUnanswered() {
+		sleep(r.ctx, maxUnansweredTime)
+		return
+	}
 	query := request.URL.Query()
 	since, _ := strconv.Atoi(query.Get("watch")) // 0 if it is not a number: all events
 	lingerMillis, _ := strconv.Atoi(query.Get("linger"))
@@ -133,13 +152,13 @@
 			return // the run is over
 		}
 		if len(update.Events) > 0 {
-			writeUpdate(w, update)
+			r.writeUpdate(w, update)
 			return
 		}
 		select {
 		case <-posted:
 		case <-timeout:
-			writeUpdate(w, update)
+			r.writeUpdate(w, update)
 			return
 		case <-request.Context().Done():
 			return
@@ -151,11 +170,15 @@
 
 // writeUpdate answers a poll. It ignores write errors: a router whose connection has failed polls
 // again.
-func writeUpdate(w io.Writer, update discoveryUpdate) {
+func (r *routerProcess) writeUpdate(w http.ResponseWriter, update discoveryUpdate) {
 	text, err := json.Marshal(update)
 	if err != nil {
 		return // encodeEvent has ended the run
 	}
+	if r.slowness != nil {
+		r.slowness.respond(r.ctx, w, text)
+		return
+	}
 	_, _ = w.Write(text)
 }
 
--- a/internal/emulator/sockets_options.go
+++ b/internal/emulator/sockets_options.go
@@ -22,6 +22,9 @@
 	// Earlier is the program of every second router: an earlier version, which has no
 	// supervisor. "": Program.
 	Earlier string
+	// SlowDiscovery makes each router's discovery service slow, in a way that is drawn by the seed.
+	// It gets each event at once; the scenario's late_board says when routers count as notified.
+	SlowDiscovery bool
 	// Drive, if set, is called in a goroutine of its own once all routers are ready, for instance
 	// to upgrade supervised routers. The run continues until Drive returns, and an error of Drive
 	// ends it.
--- a/internal/simulation/discovery.go
+++ b/internal/simulation/discovery.go
@@ -37,7 +37,11 @@
 // announce sends a discovery event to all routers. Each router receives it after a random delay, and never before an
 // event that was announced earlier.
 func (s *Simulation) announce(event DiscoveryEvent) {
+	announcer, _ := s.driver.(Announcer)
 	for _, router := range s.routers {
+		if announcer != nil && router.up {
+			announcer.Announced(router.id, event)
+		}
 		delay := s.jitter(s.scenario.Fleet.DiscoveryDelayMS * millisecond)
 		due := max(router.notifiedAt, s.now+delay+s.discoveryDelay)
 		router.notifiedAt = due
--- a/internal/simulation/driver.go
+++ b/internal/simulation/driver.go
@@ -30,6 +30,13 @@
 	Record(entry *Entry)
 }
 
+// Announcer is a Driver that also receives each discovery event when it is announced, before the router counts as
+// notified of it.
+type Announcer interface {
+	// Announced reports a discovery event that Notify will deliver to a router.
+	Announced(router int, event DiscoveryEvent)
+}
+
 // DiscoveryEvent is one discovery event: changed endpoints, or a purge.
 type DiscoveryEvent struct {
 	Endpoints []policy.Endpoint // the changed ones
