Learn transfer times from copies alone, not from the answer that a copy is current

Cause: an attempt of unknown size is charged to a slow-start budget at the mean of its class's last transfer times, and recordOutcome took the time of every attempt that was done for one, that of a NOMOD too, which sends nothing.

Mend: the result of an attempt says whether it confirmed a copy (NotModified), and such an attempt teaches no transfer time. It goes for the tag of a client and for that of the disk cache, which take the same path.

--- a/cmd/quilldoor/testrouter_test.go
+++ b/cmd/quilldoor/testrouter_test.go
@@ -37,6 +37,7 @@
 	configPath string
 	terminate  chan os.Signal
 	reload     chan os.Signal
+	process    chan *router // receives the router once it is constructed
 	done       chan error
 	log        chan string // messages of level info and above
 }
@@ -85,6 +86,7 @@
 		configPath: filepath.Join(t.TempDir(), "config.json"),
 		terminate:  make(chan os.Signal, 1),
 		reload:     make(chan os.Signal, 1),
+		process:    make(chan *router, 1),
 		done:       make(chan error, 1),
 		log:        make(chan string, 1000),
 	}
@@ -105,6 +107,7 @@
 			r.done <- err
 			return
 		}
+		r.process <- router
 		r.done <- router.serve(r.terminate, r.reload)
 	}()
 	t.Cleanup(func() {
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -74,6 +74,8 @@
 	Load       map[string]float64 // the endpoint's load report, by the protocol's keys; see policy.Event
 	Response   Response           // set with OutcomeDone
 	IssuedAt   int64              // when the origin issued the copy in Response; 0: no copy
+	// NotModified means that Response confirms a copy that the client or this router holds, and carries none.
+	NotModified bool
 }
 
 // AttemptEnded reports an attempt's result. Only the first result of an attempt
@@ -108,7 +110,7 @@
 	e.events = append(e.events, policy.Event{
 		Kind: policy.EventAttemptEnded, Request: request.ID, Endpoint: attempt.Endpoint.ID, Attempt: attempt.Number,
 		Outcome: result.Outcome, Reason: result.Reason, Final: request.closed, RTT: now - attempt.DecidedAt,
-		OriginWait: result.OriginWait, Load: result.Load,
+		OriginWait: result.OriginWait, Load: result.Load, NotModified: result.NotModified,
 	})
 	e.removeIfDone(request)
 }
--- a/internal/policy/attempt.go
+++ b/internal/policy/attempt.go
@@ -182,7 +182,7 @@
 
 // recordOutcome updates the capacity estimates of the endpoint, the source and the origin after an attempt's end.
 func (r *Router) recordOutcome(e *Event, req *request, a *attempt) {
-	if e.Outcome == OutcomeDone && req.transferTime == 0 && !req.class.write {
+	if e.Outcome == OutcomeDone && !e.NotModified && req.transferTime == 0 && !req.class.write {
 		req.class.learnTransferTime(req.object, e.RTT)
 	}
 	significant := r.showsCapacity(e)
--- a/internal/policy/types.go
+++ b/internal/policy/types.go
@@ -130,8 +130,8 @@
 	EventResponseStarted
 	// EventPurge reports that copies are outdated: Object, or Group where Object is empty; Age.
 	EventPurge
-	// EventAttemptEnded is the end of an attempt: Request, Endpoint, Attempt, Outcome, Reason, Final, RTT, OriginWait
-	// and Load.
+	// EventAttemptEnded is the end of an attempt: Request, Endpoint, Attempt, Outcome, Reason, Final, NotModified, RTT,
+	// OriginWait and Load.
 	EventAttemptEnded
 	// EventRequestClosed reports that a client disconnected, or that its request was answered without a decision of the
 	// Router: Request.
@@ -167,13 +167,15 @@
 	Write       bool    // used only where Settings lack the class
 
 	// Fields of an attempt or a health check.
-	Endpoint   string // id
-	Attempt    int    // index among the request's attempts, from 0
-	Outcome    Outcome
-	Reason     Reason
-	Final      bool  // the request was answered by this attempt
-	RTT        int64 // time from the decision to send the attempt until its end
-	OriginWait int64 // how long the cache waited for the origin; used with ReasonMissOrigin
+	Endpoint string // id
+	Attempt  int    // index among the request's attempts, from 0
+	Outcome  Outcome
+	Reason   Reason
+	Final    bool // the request was answered by this attempt
+	// NotModified means that the response confirms a copy that the client or this router holds, and transferred none.
+	NotModified bool
+	RTT         int64 // time from the decision to send the attempt until its end
+	OriginWait  int64 // how long the cache waited for the origin; used with ReasonMissOrigin
 	// Load is the endpoint's load report. Only one key is read: "x1", the utilization of its zone's link from the
 	// parents, 0 to 1.
 	Load map[string]float64
--- a/internal/upstream/read.go
+++ b/internal/upstream/read.go
@@ -118,6 +118,7 @@
 		IssuedMillis: response.IssuedMillis,
 	}
 	result.IssuedAt = response.IssuedMillis * microsPerMilli
+	result.NotModified = response.Status == cacheproto.StatusNotModified
 	return result
 }
 
