Keep the known purges with the process, for the parts that open later

Cause: under a supervisor a process follows discovery before it opens the gateway and the membership. A purge from then was told to the engine alone; the gateway's log of purges and the gossip replica began empty.

Mend: the process has one log of purges from its start.

--- a/cmd/quilldoor/discovery.go
+++ b/cmd/quilldoor/discovery.go
@@ -71,11 +71,9 @@
 }
 
 // applyPurge applies a purge from discovery or from a router of this site, and records it
-// for the gateway's peers.
+// for the gateway's peers and for components that are opened later.
 func (r *router) applyPurge(object string, group, at int64) {
-	if r.gatewayHost != nil {
-		r.gatewayHost.purges.add(object, group, at)
-	}
+	r.purges.add(object, group, at)
 	r.purgeCopies(object, group, at)
 }
 
--- a/cmd/quilldoor/gatewayhost.go
+++ b/cmd/quilldoor/gatewayhost.go
@@ -14,10 +14,7 @@
 )
 
 // gatewayHost is the router as the gateway uses it. It implements gateway.Host.
-type gatewayHost struct {
-	*router
-	purges purgeLog // from this site
-}
+type gatewayHost struct{ *router }
 
 // Execute runs a peer's request and returns its result.
 func (h *gatewayHost) Execute(cancelled <-chan struct{}, request *gateway.Request) gateway.Reply {
@@ -51,7 +48,7 @@
 	if err != nil {
 		return fmt.Errorf("gateway.listen: %w", err)
 	}
-	r.gatewayHost = &gatewayHost{router: r, purges: purgeLog{retention: r.purgeRetention()}}
+	r.gatewayHost = &gatewayHost{r}
 	r.gatewayKeys = keys
 	r.gateway = gateway.Start(r.gatewayConfig(file, keys), listener, r.gatewayHost, r.buffers, r.log)
 	r.downstream.SetGateway(r.gateway)
--- a/cmd/quilldoor/generation.go
+++ b/cmd/quilldoor/generation.go
@@ -32,15 +32,11 @@
 	if budgetsMaybeSpent {
 		g.slowStartHoldUntil = clock.Now() + g.policy.Contract.OverloadWindow
 	}
+	g.adoptPurges(state.Purges)
 	if err := g.openExclusive(state.Membership); err != nil {
 		return err
 	}
 	g.watcher.Resume(state.Revision, fromHandoff(state.Endpoints))
-	if g.gatewayHost != nil {
-		for _, purge := range state.Purges {
-			g.gatewayHost.purges.add(purge.Object, purge.Group, purge.At)
-		}
-	}
 	if state.Learned != nil && !stateIsOwn {
 		g.restore(state.Learned)
 	}
@@ -49,6 +45,16 @@
 	return nil
 }
 
+// adoptPurges applies the purges that another generation knows and this one doesn't. It precedes
+// openExclusive, which passes all known purges to what it opens.
+func (g *generation) adoptPurges(purges []handoff.Purge) {
+	for _, purge := range purges {
+		if g.purges.add(purge.Object, purge.Group, purge.At) {
+			g.purgeCopies(purge.Object, purge.Group, purge.At)
+		}
+	}
+}
+
 // restore restores the state that another generation has learned.
 func (g *generation) restore(snapshot *policy.Snapshot) {
 	if err := g.engine.Restore(snapshot); err != nil { // the router serves without it, as after a cold start
@@ -67,12 +73,11 @@
 	defer g.watchDiscovery()
 	learned := g.engine.Snapshot()
 	learned.SlowStartHoldUntil = g.slowStartHoldUntil
-	purges := g.purgesToHandOff() // before handOffExclusive drops gatewayHost, which holds them
 	membershipState := g.handOffExclusive()
 	revision, list := g.watcher.Snapshot()
 	return &handoff.State{
 		Learned:    learned,
-		Purges:     purges,
+		Purges:     g.purgesToHandOff(),
 		Membership: membershipState,
 		Revision:   revision,
 		Endpoints:  toHandoff(list),
@@ -90,10 +95,7 @@
 }
 
 func (g *generation) purgesToHandOff() (purges []handoff.Purge) {
-	if g.gatewayHost == nil {
-		return nil
-	}
-	for _, purge := range g.gatewayHost.purges.all() {
+	for _, purge := range g.purges.all() {
 		purges = append(purges, handoff.Purge{Object: purge.object, Group: purge.group, At: purge.at})
 	}
 	return purges
--- a/cmd/quilldoor/gossip.go
+++ b/cmd/quilldoor/gossip.go
@@ -25,12 +25,18 @@
 	tickedAt int64 // microseconds since start
 }
 
+// newGossipHandler returns a handler with the purges that the process knows already. It gets the
+// endpoint list with the next complete one.
 func newGossipHandler(r *router) *gossipHandler {
-	return &gossipHandler{
+	h := &gossipHandler{
 		router:  r,
 		start:   time.Now(),
 		replica: gossip.New(gossip.Settings{PurgeRetention: r.purgeRetention()}),
 	}
+	for _, purge := range r.purges.all() {
+		h.recordPurge(purge.object, purge.group, purge.at)
+	}
+	return h
 }
 
 func (h *gossipHandler) now() int64 { return time.Since(h.start).Microseconds() }
--- a/cmd/quilldoor/killedrouter_test.go
+++ b/cmd/quilldoor/killedrouter_test.go
@@ -22,6 +22,7 @@
 	platform *fakePlatform
 	addr     string // the same for all its processes
 	folder   string // of the disk cache
+	command  string // that starts it
 	config   string
 	operator string
 	metrics  string
@@ -38,6 +39,7 @@
 		platform: platform,
 		addr:     reserveAddress(t),
 		folder:   filepath.Join(dir, "tier"),
+		command:  "serve",
 		config:   filepath.Join(dir, "config.json"),
 		operator: filepath.Join(dir, "quilldoor.yaml"),
 		metrics:  filepath.Join(dir, "figures"),
@@ -67,7 +69,7 @@
 func (r *killedRouter) start(t *testing.T, round int, log *bytes.Buffer) *exec.Cmd {
 	t.Helper()
 	r.platform.restartDiscovery(r.pool)
-	process := ownCommand("serve", "--config", r.config, "--operator", r.operator, "--log-format", "json")
+	process := ownCommand(r.command, "--config", r.config, "--operator", r.operator, "--log-format", "json")
 	process.Env = append(process.Env, "LB_CONFIG=", "LB_NAME=", "LB_LISTEN=", "LB_OPERATOR=")
 	process.Stderr = log
 	if err := process.Start(); err != nil {
--- a/cmd/quilldoor/purgelog.go
+++ b/cmd/quilldoor/purgelog.go
@@ -7,8 +7,9 @@
 	"quilldoor/internal/clock"
 )
 
-// purgeLog holds the purges that caches may not have applied yet, for peers that may not have
-// received them.
+// purgeLog holds the purges that this process knows from its site and that caches may not have
+// applied yet: for other routers, which may not have received them, and for components of this
+// process that are opened later. It is safe for concurrent use.
 type purgeLog struct {
 	mu        sync.Mutex
 	retention int64 // microseconds
@@ -25,15 +26,21 @@
 // peers have received from their own discovery.
 const maxLoggedPurges = 4096
 
-// add adds a purge, made at the time at, and drops the expired ones.
-func (l *purgeLog) add(object string, group, at int64) {
+// add adds a purge, made at the time at, and drops the expired ones. It reports whether the purge
+// is new.
+func (l *purgeLog) add(object string, group, at int64) (added bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	event := purgeEvent{object, group, at}
+	if slices.Contains(l.purges, event) {
+		return false
+	}
 	oldestKept := clock.System() - l.retention
 	for len(l.purges) > 0 && (l.purges[0].at < oldestKept || len(l.purges) >= maxLoggedPurges) {
 		l.purges = l.purges[1:]
 	}
-	l.purges = append(l.purges, purgeEvent{object, group, at})
+	l.purges = append(l.purges, event)
+	return true
 }
 
 func (l *purgeLog) all() []purgeEvent {
--- a/cmd/quilldoor/router.go
+++ b/cmd/quilldoor/router.go
@@ -46,6 +46,7 @@
 	watcher       *discovery.Watcher
 	stopWatching  func()
 	discoveryAddr string // of the watched service
+	purges        purgeLog
 	listener      *net.TCPListener
 	served        chan error // result of downstream's accept loop; nil: it doesn't run
 
@@ -96,6 +97,7 @@
 	if r.agent, err = upgradeagent.Inherit(os.Getenv); err != nil {
 		return nil, err
 	}
+	r.purges.retention = r.purgeRetention()
 	r.engine = engine.New(&r.policy, config.Seed, r.wakeBackground)
 	r.events = r.engine
 	r.buffers = bufferpool.NewPool(config.Limits.MaxBufferedBytes)
--- a/internal/handoff/state.go
+++ b/internal/handoff/state.go
@@ -11,7 +11,7 @@
 	Endpoints  []Endpoint               `cbor:"2,keyasint,omitempty"` // the whole list
 	Learned    *policy.Snapshot         `cbor:"3,keyasint,omitempty"` // nil: none
 	Membership *membership.HandoffState `cbor:"4,keyasint,omitempty"` // nil: the process is not a member
-	Purges     []Purge                  `cbor:"5,keyasint,omitempty"` // those still to be sent to the gateways of other sites
+	Purges     []Purge                  `cbor:"5,keyasint,omitempty"` // those that some cache may not have applied yet
 }
 
 // Endpoint is an entry of the endpoint list. Its fields mean the same as in discovery.
