Tell a disk cache that opens during an outage of discovery since when it lasts

Cause: the watcher tells since when events may be unknown only when that changes. Under a supervisor it does so before the disk cache is open, and nobody told the cache that was opened later, so that it took all purges for known.

Mend: the process keeps that time and gives it to a disk cache that opens, at whatever moment: a cold start, a promotion, a release that is taken back.

--- a/cmd/quilldoor/discovery.go
+++ b/cmd/quilldoor/discovery.go
@@ -104,8 +104,10 @@
 	r.log.Info("discovery restored")
 }
 
-// DiscoveryOverdue handles a change of the time since which events may be unknown.
+// DiscoveryOverdue handles a change of the time since which events may be unknown. A disk cache
+// that is opened later starts from the latest one.
 func (r *router) DiscoveryOverdue(since time.Time) {
+	r.overdueSince = since
 	if cache := r.diskCache.Load(); cache != nil {
 		cache.SetDiscoveryOverdue(since)
 	}
--- a/cmd/quilldoor/diskcache.go
+++ b/cmd/quilldoor/diskcache.go
@@ -21,7 +21,8 @@
 	return r.limits.PollLossTime.Microseconds() + r.policy.Hierarchy.PurgeGrace
 }
 
-// openDiskCache starts the disk cache as configured in the operator's file.
+// openDiskCache starts the disk cache as configured in the operator's file. Discovery may be
+// overdue already.
 func (r *router) openDiskCache(file *operatorconfig.DiskCache) error {
 	settings, err := r.diskCacheSettings(file)
 	if err != nil {
@@ -34,6 +35,7 @@
 		ReadTimeout: time.Duration(file.ReadWaitMS) * time.Millisecond,
 		Settings:    *settings,
 	}, r.buffers, r.log)
+	cache.SetDiscoveryOverdue(r.overdueSince)
 	r.diskCache.Store(cache)
 	r.downstream.SetDiskCache(cache)
 	return nil
--- a/cmd/quilldoor/router.go
+++ b/cmd/quilldoor/router.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -47,8 +48,11 @@
 	stopWatching  func()
 	discoveryAddr string // of the watched service
 	purges        purgeLog
-	listener      *net.TCPListener
-	served        chan error // result of downstream's accept loop; nil: it doesn't run
+	// overdueSince is since when events may be unknown, as DiscoveryOverdue received it. It changes
+	// only while discovery is watched.
+	overdueSince time.Time
+	listener     *net.TCPListener
+	served       chan error // result of downstream's accept loop; nil: it doesn't run
 
 	agent              *upgradeagent.Agent // nil: no supervisor runs this process
 	host               upgradeagent.Host   // the router as the agent controls it; nil without an agent
