Let the time since which discovery is overdue stand until a poll is answered

Callers could be answered from disk with purged copies for up to 2.3 s more, during an outage of discovery, after a SIGHUP, when a process takes over or when a poll fails late.

Cause: a poll that ended without a response was recorded with the time of its end, not with the time at which it had to be answered, so that the time since which events may be unknown jumped forward, and the disk cache trusted discovery anew.

Evidence: TestOverdueTimeStaysUntilAResponse failed before: the time moved by 1.5 and 5 s in 90 s of silence, by 4 s after a new start of the watcher.

Mend: an ended poll counts from its due time or its end, whichever is earlier, and the earliest stands until a later poll is answered.

--- a/internal/discovery/latepolls_test.go
+++ b/internal/discovery/latepolls_test.go
@@ -305,6 +305,38 @@
 	})
 }
 
+// Guards against a purge that is thought to be known again while no poll has been answered, because
+// a poll has failed late or the watcher has been started anew: the time since which events may be
+// unknown stays.
+func TestOverdueTimeStaysUntilAResponse(t *testing.T) {
+	t.Run("polls fail late", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			service := newVirtualService(neverAnswer)
+			began := time.Now()
+			overdue := overdueRecorder{newTimeline(), nil}
+			_, stop := service.watch(&overdue)
+			time.Sleep(3 * maxPollAge)
+			stop()
+			overdue.checkStays(t, began.Add(defaultLimits().PollWait))
+		})
+	})
+	t.Run("started anew", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			const each = 5 * time.Second
+			service := newVirtualService(neverAnswer)
+			began := time.Now()
+			overdue := overdueRecorder{newTimeline(), nil}
+			watcher, stop := service.watch(&overdue)
+			time.Sleep(each)
+			stop()
+			_, stop = service.resume(watcher)
+			time.Sleep(each)
+			stop()
+			overdue.checkStays(t, began.Add(defaultLimits().PollWait))
+		})
+	})
+}
+
 // overdueRecorder records the reports of overdue polls, too.
 type overdueRecorder struct {
 	*timeline
@@ -312,3 +344,13 @@
 }
 
 func (r *overdueRecorder) DiscoveryOverdue(since time.Time) { r.since = append(r.since, since) }
+
+// checkStays checks that the time since which polls are overdue, once it is in the past, is the given one.
+func (r *overdueRecorder) checkStays(t *testing.T, want time.Time) {
+	t.Helper()
+	for _, since := range r.since {
+		if since.After(want) || since.IsZero() {
+			t.Errorf("overdue since %v later than the first poll had to be answered", since.Sub(want))
+		}
+	}
+}
--- a/internal/discovery/schedule.go
+++ b/internal/discovery/schedule.go
@@ -42,13 +42,13 @@
 	delay            time.Duration // of recent responses, at most; 0 if they were in time
 	backoff          time.Duration // of polls in a row without a response
 	retryAt          time.Time     // no poll is sent earlier, after a failed one
-	failure          pollFailure   // the earliest one since the latest poll that was answered
+	failure          pollFailure
 }
 
-// pollFailure is a poll that ended without a response. The events since then may be unknown.
+// pollFailure stands for the polls that have ended without a response since one was answered.
 type pollFailure struct {
-	sequence int
-	at       time.Time // zero: there is none
+	sequence int       // of the latest
+	at       time.Time // since when events may be unknown; zero: there is none
 }
 
 func newSchedule(limits *config.Limits) schedule {
@@ -169,7 +169,7 @@
 	if !s.remove(p) || p.sequence <= s.answeredSequence {
 		return false
 	}
-	s.recordFailure(p.sequence, now)
+	s.recordFailure(p, now)
 	s.raiseBackoff()
 	s.retryAt = now.Add(drawBackoff(s.backoff, rand.Float64()))
 	return true
@@ -179,14 +179,14 @@
 func (s *schedule) giveUp(p *poll, now time.Time) {
 	s.remove(p)
 	if p.sequence > s.answeredSequence {
-		s.recordFailure(p.sequence, now)
+		s.recordFailure(p, now)
 	}
 }
 
 // stop removes all open polls, which end without a response.
 func (s *schedule) stop(now time.Time) {
 	for _, p := range s.pending() {
-		s.recordFailure(p.sequence, now)
+		s.recordFailure(p, now)
 	}
 	s.open = nil
 	s.backoff = 0
@@ -201,11 +201,22 @@
 	}
 }
 
-func (s *schedule) recordFailure(sequence int, now time.Time) {
-	if s.failure.at.IsZero() {
-		s.failure.at = now
+// recordFailure records a poll that has ended without a response. Events may be unknown from when
+// it had to be answered, or from its end if that is earlier.
+func (s *schedule) recordFailure(p *poll, now time.Time) {
+	at := earlierOf(s.dueAt(p), now)
+	if s.failure.at.IsZero() || at.Before(s.failure.at) {
+		s.failure.at = at
 	}
-	s.failure.sequence = max(s.failure.sequence, sequence)
+	s.failure.sequence = max(s.failure.sequence, p.sequence)
+}
+
+// dueAt returns when a poll has to be answered, or to be connected if it isn't yet.
+func (s *schedule) dueAt(p *poll) time.Time {
+	if !p.isConnected() {
+		return p.startedAt
+	}
+	return p.startedAt.Add(s.wait)
 }
 
 func (s *schedule) raiseBackoff() {
@@ -224,6 +235,13 @@
 	return b
 }
 
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // remove removes an open poll, and reports whether it was open.
 func (s *schedule) remove(p *poll) bool {
 	i := slices.Index(s.open, p)
@@ -240,10 +258,7 @@
 func (s *schedule) overdueSince() time.Time {
 	since := s.failure.at
 	if pending := s.pending(); len(pending) > 0 {
-		due := pending[0].startedAt
-		if pending[0].isConnected() {
-			due = due.Add(s.wait)
-		}
+		due := s.dueAt(pending[0])
 		if since.IsZero() || due.Before(since) {
 			since = due
 		}
