Don't execute a request again under the id of one that may have been executed

Callers saw a write run twice: its client left while it was on the way and sent it again under the same id.

Cause: the engine knew an id only while its request was open or had attempts in flight. When a client leaves, what is in flight is cancelled, so that the id was free while the endpoint went on; after an answer it was free, too. At the other site a duplicate was answered "rejected".

What is not covered (a restart that is no hand-over, another router of the site, requests that reach the old generation late, one case at the peer's gateway that was read only) stands in the postmortem.

--- a/cmd/quilldoor/generation.go
+++ b/cmd/quilldoor/generation.go
@@ -33,6 +33,7 @@
 		g.slowStartHoldUntil = clock.Now() + g.policy.Contract.OverloadWindow
 	}
 	g.adoptPurges(state.Purges)
+	g.engine.AddExecutedIDs(state.Executed)
 	if err := g.openExclusive(state.Membership); err != nil {
 		return err
 	}
@@ -78,6 +79,7 @@
 	return &handoff.State{
 		Learned:    learned,
 		Purges:     g.purgesToHandOff(),
+		Executed:   g.engine.ExecutedIDs(),
 		Membership: membershipState,
 		Revision:   revision,
 		Endpoints:  toHandoff(list),
--- a/cmd/quilldoor/metrics.go
+++ b/cmd/quilldoor/metrics.go
@@ -72,6 +72,7 @@
 	set.gauge(float64(r.downstream.Clients()), "clients")
 	set.gauge(float64(r.upstream.ConnCount()), "upstream_connections")
 	set.counter(r.engine.PurgedCopies(), "purged_copies_rejected_total")
+	set.counter(r.engine.ForgottenIDs(), "executed_ids_forgotten_total")
 	readWaits, readWaitTime := r.downstream.ReadWaits()
 	set.counter(readWaits, "read_waits_total")
 	set.gauge(readWaitTime.Seconds(), "read_wait_seconds_total")
--- a/internal/downstream/exchange.go
+++ b/internal/downstream/exchange.go
@@ -93,6 +93,8 @@
 		s.stats.countOutcome(engine.CommandReject)
 		s.countWeight(x.request, false, 0, 0)
 		return s.respondEmpty(x.client, http.StatusServiceUnavailable, x.closeAfter)
+	case errors.Is(err, engine.ErrExecuted):
+		return s.respondEmpty(x.client, http.StatusConflict, x.closeAfter)
 	case err != nil: // ErrDuplicate
 		return s.respondEmpty(x.client, http.StatusBadRequest, x.closeAfter)
 	}
--- a/internal/downstream/forward.go
+++ b/internal/downstream/forward.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -39,12 +40,19 @@
 		x.wake.raise()
 		x.client.SetReadDeadline(time.Now()) // interrupts the read in awaitSignal
 	})
+	if !x.reserveID(request) {
+		return true // another request with this id runs
+	}
 	if !g.Forward(request, inbox.put) {
+		x.releaseID(request)
 		return true
 	}
 	for {
 		connected = x.client.awaitSignal(x.wake)
 		if reply, ok := inbox.take(); ok {
+			if reply.Outcome == peerpolicy.OutcomeRejected {
+				x.releaseID(request)
+			}
 			if connected {
 				*final = commandFromReply(reply, final.RetryAfter)
 			} else {
@@ -63,6 +71,24 @@
 	}
 }
 
+// mayRunTwice reports whether the other site may execute a request that must not be executed
+// again. One that may have been executed here is not forwarded, and its id is known.
+func mayRunTwice(request *gateway.Request) bool {
+	return request.Effect != peerpolicy.EffectIdempotent && request.NeverRan
+}
+
+// reserveID makes the request's id known as executed, where that matters, before it is forwarded.
+func (x *exchange) reserveID(request *gateway.Request) bool {
+	return !mayRunTwice(request) || x.server.engine.ReserveID(request.Event.Request)
+}
+
+// releaseID takes reserveID back: the other site has not executed the request.
+func (x *exchange) releaseID(request *gateway.Request) {
+	if mayRunTwice(request) {
+		x.server.engine.ReleaseID(request.Event.Request)
+	}
+}
+
 func (x *exchange) gatewayRequest(final *engine.Command) *gateway.Request {
 	class, _ := x.server.engine.Class(x.request.event.Class)
 	request := &gateway.Request{
@@ -142,6 +168,9 @@
 	request := &clientRequest{event: forwarded.Event, tag: forwarded.Tag, body: forwarded.Body}
 	wake := newSignal()
 	engineRequest, err := s.engine.Open(clock.Now(), request.event, wake.raise)
+	if errors.Is(err, engine.ErrExecuted) {
+		return gateway.Reply{Outcome: peerpolicy.OutcomeAborted}
+	}
 	if err != nil {
 		return rejected
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,7 +21,8 @@
 
 	requests     map[string]*Request // by id, until closed and all attempts have ended
 	openRequests int                 // the number of requests that are not closed
-	purgedCopies int64               // responses rejected because they carried a purged copy
+	executed     executedIDs
+	purgedCopies int64 // responses rejected because they carried a purged copy
 	endpoints    map[string]*Endpoint
 	clockStep    int64                // µs by which the clock of discovery and the origin is ahead of now
 	startTimes   map[string]startTime // by endpoint id
@@ -43,6 +44,7 @@
 		answerSlack: settings.Contract.AnswerSlack,
 		purgeSettle: settings.Hierarchy.PurgeSettleTime,
 		requests:    map[string]*Request{},
+		executed:    newExecutedIDs(),
 		endpoints:   map[string]*Endpoint{},
 		startTimes:  map[string]startTime{},
 		requestRun:  requestRun,
--- a/internal/engine/request.go
+++ b/internal/engine/request.go
@@ -10,6 +10,7 @@
 var (
 	ErrFull      = errors.New("too many open requests")
 	ErrDuplicate = errors.New("a request with this id is already open")
+	ErrExecuted  = errors.New("a request with this id may have been executed")
 )
 
 // Request is one open request of a client or peer.
@@ -20,6 +21,7 @@
 	failTimer          *timer // fails the request if the policy has not ended it
 	closed             bool   // the client was answered or has disconnected
 	unsafe             bool   // it must not be executed twice
+	executedOnce       bool   // a second execution may have a further effect, at once or after its dedup window
 	attempts           []*Attempt
 	pendingAttempts    int  // attempts that have not ended
 	endedMaybeExecuted bool // an attempt that has ended may have been executed
@@ -30,23 +32,28 @@
 // Open opens a request. The event has the fields of a policy.EventRequest, among
 // them Remaining, the microseconds until the deadline; Open sets Kind. The engine
 // calls notify, with the lock held, when it has added a command to the command
-// queue. The error is ErrFull if Limits.MaxOpenRequests is reached, or ErrDuplicate
-// if a request with the id event.Request is open or has attempts that have not ended.
+// queue. The error is ErrFull if Limits.MaxOpenRequests is reached, ErrExecuted if a
+// request with the id event.Request may have been executed, or may still be, and its
+// class is not idempotent, or ErrDuplicate if any other request with this id is open or
+// has attempts that have not ended.
 func (e *Engine) Open(now int64, event policy.Event, notify func()) (*Request, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.limits.MaxOpenRequests > 0 && e.openRequests >= e.limits.MaxOpenRequests {
 		return nil, ErrFull
 	}
-	if e.requests[event.Request] != nil {
-		return nil, ErrDuplicate
+	if err := e.checkID(event.Request); err != nil {
+		return nil, err
 	}
+	effect := e.classes[event.Class].Effect
 	request := &Request{
 		ID:       event.Request,
 		engine:   e,
 		deadline: now + event.Remaining,
 		notify:   notify,
-		unsafe:   e.classes[event.Class].Effect == policy.EffectUnsafe,
+		unsafe:   effect == policy.EffectUnsafe,
+
+		executedOnce: effect != policy.EffectIdempotent,
 	}
 	e.requests[request.ID] = request
 	e.openRequests++
@@ -56,6 +63,68 @@
 	return request, nil
 }
 
+// checkID returns the error with which a request with this id is not opened; nil: none.
+func (e *Engine) checkID(id string) error {
+	open := e.requests[id]
+	switch {
+	case e.executed.contains(id), open != nil && open.executedOnce:
+		return ErrExecuted
+	case open != nil:
+		return ErrDuplicate
+	}
+	return nil
+}
+
+// ReserveID marks a request's id as one that may have been executed, before the request is
+// passed to another site. It returns false if the id is marked already, or open.
+func (e *Engine) ReserveID(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.checkID(id) != nil {
+		return false
+	}
+	e.executed.add(idNumber(id))
+	return true
+}
+
+// ReleaseID takes back ReserveID: the request was not executed.
+func (e *Engine) ReleaseID(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.executed.remove(id)
+}
+
+// ExecutedIDs returns the ids of requests that may have been executed, or may still be, and
+// must not be executed again, for the other generation of this router. The oldest is first.
+func (e *Engine) ExecutedIDs() []uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ids := e.executed.all()
+	for id, request := range e.requests {
+		if request.executedOnce && !e.executed.contains(id) {
+			ids = append(ids, idNumber(id))
+		}
+	}
+	return ids
+}
+
+// AddExecutedIDs adds ids that the other generation of this router returned from ExecutedIDs.
+func (e *Engine) AddExecutedIDs(ids []uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, id := range ids {
+		e.executed.add(id)
+	}
+}
+
+// ForgottenIDs returns how many ids of requests that may have been executed were forgotten,
+// since too many later ones followed.
+func (e *Engine) ForgottenIDs() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.executed.forgotten
+}
+
 // ClientDisconnected reports that the client disconnected before it was answered. It has no
 // effect on a request that was answered.
 func (e *Engine) ClientDisconnected(now int64, request *Request) {
@@ -91,6 +160,9 @@
 			e.endAttempt(now, attempt, Result{Outcome: policy.OutcomeSkipped})
 		}
 	}
+	if request.executedOnce && request.maybeExecuted() {
+		e.executed.add(idNumber(request.ID))
+	}
 	e.removeIfDone(request)
 }
 
--- a/internal/handoff/state.go
+++ b/internal/handoff/state.go
@@ -12,6 +12,7 @@
 	Learned    *policy.Snapshot         `cbor:"3,keyasint,omitempty"` // nil: none
 	Membership *membership.HandoffState `cbor:"4,keyasint,omitempty"` // nil: the process is not a member
 	Purges     []Purge                  `cbor:"5,keyasint,omitempty"` // those that some cache may not have applied yet
+	Executed   []uint64                 `cbor:"6,keyasint,omitempty"` // ids of requests that may have been executed and must not be again
 }
 
 // Endpoint is an entry of the endpoint list. Its fields mean the same as in discovery.
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -13,6 +13,7 @@
 	http.StatusNotFound:                    "Not Found",
 	http.StatusMethodNotAllowed:            "Method Not Allowed",
 	http.StatusRequestTimeout:              "Request Timeout",
+	http.StatusConflict:                    "Conflict",
 	http.StatusLengthRequired:              "Length Required",
 	http.StatusRequestEntityTooLarge:       "Content Too Large",
 	http.StatusRequestHeaderFieldsTooLarge: "Request Header Fields Too Large",
