Don't evict a connection on which a request waits while another has none

Cause: at the bound on connections the oldest one was closed on which no request was being served. A request that had arrived and waited for its read slot, or stood in the socket, didn't count, nor did one that was read in that moment.

Mend: first goes a connection whose client has left, then one that waits for bytes with nothing unread, then one that sends requests ahead of their responses; else none. An eviction or a shutdown ends the wait of the connection's goroutine, which goes on if a request has arrived.

--- a/internal/downstream/arrival.go
+++ b/internal/downstream/arrival.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,9 +21,10 @@
 	net.Conn
 	slot        readSlot
 	arrivals    []arrival
-	received    int64     // bytes so far
-	ended       bool      // the client closed its side, or the connection failed
-	unreadSince time.Time // since when bytes are known to be unread in the socket; zero: not known
+	waiting     atomic.Bool // a read waits for the client, or has just ended
+	received    int64       // bytes so far
+	ended       bool        // the client closed its side, or the connection failed
+	unreadSince time.Time   // since when bytes are known to be unread in the socket; zero: not known
 }
 
 // arrival is the time at which the bytes up to an offset in the stream were
@@ -34,7 +36,9 @@
 
 func (a *arrivalReader) Read(b []byte) (int, error) {
 	held := a.slot.release()
+	a.waiting.Store(true)
 	n, err := a.Conn.Read(b)
+	a.waiting.Store(false)
 	if n > 0 {
 		a.recordArrival(n)
 	}
--- a/internal/downstream/client.go
+++ b/internal/downstream/client.go
@@ -19,6 +19,8 @@
 
 	// Guarded by the server's lock:
 	state     clientState
+	resumable bool      // in clientClosing: a request that is being read takes that back
+	sentAhead bool      // the current request began to arrive before the previous one was answered
 	served    bool      // the client has had a response
 	idleSince time.Time // when the last response was written; before the first, when the client connected
 }
@@ -30,7 +32,7 @@
 	clientIdle    clientState = iota // waiting for the first byte of a request
 	clientSending                    // a request is being read
 	clientBusy                       // a request has been read and is being served
-	clientClosing                    // evicted or shut down: no request may begin
+	clientClosing                    // evicted or shut down: no request may begin, unless resumable
 )
 
 func newClient(socket net.Conn) *client {
@@ -39,12 +41,15 @@
 	return c
 }
 
-// evictedBefore reports whether c is to be evicted before the other client.
-func (c *client) evictedBefore(other *client) bool {
-	if c.served != other.served {
-		return !c.served
+// compareEviction returns a negative number if c is to be evicted before the other client.
+func (c *client) compareEviction(other *client) int {
+	switch {
+	case c.served == other.served:
+		return c.idleSince.Compare(other.idleSince)
+	case other.served:
+		return -1
 	}
-	return c.idleSince.Before(other.idleSince)
+	return 1
 }
 
 // hasDisconnected reports whether the client has closed its side, even if unread
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -14,7 +14,7 @@
 func (s *Server) serve(c *client) {
 	defer c.arrivals.slot.release()
 	defer s.remove(c)
-	defer c.lingeringClose(s.limits.LingeringCloseTimeout, s.limits.MaxDiscardBytes)
+	defer s.close(c)
 	for s.awaitRequest(c) && s.serveRequest(c) {
 		if s.draining.Load() || !s.setState(c, clientIdle) {
 			return
@@ -22,12 +22,23 @@
 	}
 }
 
+// close closes a client's connection. One that was evicted or shut down has no response to read.
+func (s *Server) close(c *client) {
+	if s.isClosing(c) {
+		c.Close()
+		return
+	}
+	c.lingeringClose(s.limits.LingeringCloseTimeout, s.limits.MaxDiscardBytes)
+}
+
 // awaitRequest waits for the first byte of a request, and reports whether to read
 // the request. For a client's first request, RequestReadTimeout covers both this
 // wait and the reading.
 func (s *Server) awaitRequest(c *client) bool {
 	s.mu.Lock()
-	if c.state == clientClosing { // a new read deadline would override the one that Drain set
+	c.sentAhead = c.reader.Buffered() > 0
+	if c.state == clientClosing && (!c.resumable || !c.sentAhead) {
+		// A new read deadline would override the one that evict set.
 		s.mu.Unlock()
 		return false
 	}
@@ -107,7 +118,9 @@
 		s.respondEmpty(c, malformed.Status, true)
 		return nil, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		s.respondEmpty(c, http.StatusRequestTimeout, true)
+		if !s.isClosing(c) {
+			s.respondEmpty(c, http.StatusRequestTimeout, true)
+		}
 		return nil, false
 	case err != nil:
 		return nil, false
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -178,51 +178,6 @@
 	}, code)
 }
 
-// admit adds a client. At the client limit it evicts another one first. While a
-// connection that was evicted or shut down is still closing, its slot is awaited.
-func (s *Server) admit(c *client) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for len(s.clients) >= s.maxClients && !s.limitSuspended {
-		if s.openClients() >= s.maxClients {
-			s.evictClient()
-		}
-		s.slotFreed.Wait()
-	}
-	s.clients[c] = struct{}{}
-}
-
-// openClients returns the number of clients whose connections are not closing.
-func (s *Server) openClients() (open int) {
-	for c := range s.clients {
-		if c.state != clientClosing {
-			open++
-		}
-	}
-	return open
-}
-
-// evictClient closes a connection on which no request is being served, if there is
-// one: the oldest of those that never had a response, otherwise the one that has
-// been idle longest. Clients that connect without sending a request may come by
-// the hundreds, so they are evicted first. A client that has had a response can
-// send its next request on a new connection.
-func (s *Server) evictClient() {
-	var victim *client
-	for c := range s.clients {
-		if c.state == clientBusy || c.state == clientClosing {
-			continue
-		}
-		if victim == nil || c.evictedBefore(victim) {
-			victim = c
-		}
-	}
-	if victim != nil {
-		victim.state = clientClosing
-		victim.Close()
-	}
-}
-
 // remove removes a closed client from the set.
 func (s *Server) remove(c *client) {
 	s.mu.Lock()
@@ -234,23 +189,6 @@
 	}
 }
 
-// setState sets a connection's state. It returns false if the connection was
-// evicted or shut down: no request may begin on it.
-func (s *Server) setState(c *client, state clientState) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.state == clientClosing {
-		return false
-	}
-	c.state = state
-	if state == clientIdle {
-		c.served = true
-		c.idleSince = time.Now()
-		s.slotFreed.Signal()
-	}
-	return true
-}
-
 // SetMaxClients sets the limit on client connections. It closes none of the
 // existing ones.
 func (s *Server) SetMaxClients(clients int) {
@@ -289,8 +227,7 @@
 			continue
 		}
 		if readable, _ := c.pollSocket(); !readable { // otherwise a request has arrived already
-			c.state = clientClosing
-			c.SetReadDeadline(time.Now()) // wakes its goroutine, which closes the connection
+			c.evict()
 		}
 	}
 	for len(s.clients) > 0 && time.Now().Before(deadline) {
