Let the scheduler poll the network beside a client that sends without a pause

Cause: with one core the Go scheduler polls the network only when no goroutine can run. A connection whose requests are answered without a wait always can, so that only the system monitor polled, once in 10 ms, and a request needs several polls.

A pause of 1 us changed nothing, since its timer is due before the scheduler comes to the poll.

--- a/cmd/quilldoor/badclients_test.go
+++ b/cmd/quilldoor/badclients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -29,6 +30,9 @@
 	maxErrorDelayPut = 6 * time.Second // the same for a client that has 60 MB to send
 	hugeBodyBytes    = 60 << 20
 
+	// oneConnection is the kind of a single bad client.
+	oneConnection = "one without end"
+
 	usualPeriod    = 15 * time.Millisecond
 	maxAnswerDelay = 550 * time.Millisecond // past its time a request is lost: half a second, and 50 ms on sockets
 	maxTestLag     = 100 * time.Millisecond // of the test's own goroutines
@@ -77,6 +81,11 @@
 		return c.awaitErrors(1)
 	},
 	"half a request": func(c *badConnection) error { return c.send("GET /rpc/page/x HT") },
+	oneConnection: func(c *badConnection) error {
+		go c.discard()
+		c.sendUntilClosed(strings.Repeat(unknownClassRequest, 100))
+		return nil
+	},
 	"huge body": func(c *badConnection) error {
 		head := fmt.Sprintf("PUT /rpc/sign/x HTTP/1.1\r\nHost: o\r\nContent-Length: %d\r\n\r\n", hugeBodyBytes)
 		if err := c.send(head); err != nil {
@@ -144,7 +153,11 @@
 	var clients sync.WaitGroup
 	var connections, unanswered atomic.Int64
 	until := time.Now().Add(badClientsTime)
-	for range badConnections {
+	count := badConnections
+	if kind == oneConnection {
+		count = 1
+	}
+	for range count {
 		clients.Go(func() {
 			for time.Now().Before(until) {
 				conn, err := net.DialTimeout("tcp", addr, maxErrorDelay)
@@ -170,6 +183,7 @@
 type usualResult struct {
 	id     string
 	status int // 0: no response
+	took   time.Duration
 	late   bool
 	err    error
 }
@@ -196,7 +210,8 @@
 	}
 	response.Body.Close()
 	result.status = response.StatusCode
-	result.late = time.Since(began) > timeout
+	result.took = time.Since(began)
+	result.late = result.took > timeout
 	return result
 }
 
@@ -265,6 +280,9 @@
 				t.Error(err)
 			}
 			judgeUsualResults(t, results, lag)
+			if kind == oneConnection {
+				judgeMedianDelay(t, results, lag)
+			}
 			t.Logf("bad clients: %s", report.String())
 			if !strings.HasSuffix(report.String(), ", 0 without an error") {
 				t.Error("bad clients without an error or a close in time")
@@ -293,3 +311,16 @@
 		t.Log("silent connections were not judged")
 	}
 }
+
+// judgeMedianDelay checks that responses don't wait for the system monitor of Go, which polls the
+// network only after 10 ms without another poll, once for each step of a request.
+func judgeMedianDelay(t *testing.T, results []usualResult, lag time.Duration) {
+	t.Helper()
+	const monitorPeriod = 10 * time.Millisecond
+	slices.SortFunc(results, func(a, b usualResult) int { return cmp.Compare(a.took, b.took) })
+	median := results[len(results)/2].took
+	t.Logf("median delay %v", median)
+	if median >= monitorPeriod && lag <= maxTestLag {
+		t.Errorf("half of the usual requests took %v or more", median)
+	}
+}
--- a/internal/downstream/client.go
+++ b/internal/downstream/client.go
@@ -16,6 +16,7 @@
 	arrivals     arrivalReader
 	reader       *bufio.Reader // reads from arrivals
 	readDeadline time.Time     // by which the current request must be read completely
+	waited       bool          // the previous request waited for its response
 
 	// Guarded by the server's lock:
 	state     clientState
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -65,6 +65,10 @@
 // been parsed, but not while it writes a response. False: the connection must be closed.
 func (s *Server) serveRequest(c *client) bool {
 	c.arrivals.slot.acquire()
+	if c.sentAhead && !c.waited {
+		c.arrivals.slot.pause()
+	}
+	c.waited = false
 	arrivedAt := c.arrivals.arrivedAt(c.reader.Buffered())
 	head, ok := s.readHead(c)
 	if !ok {
--- a/internal/downstream/exchange.go
+++ b/internal/downstream/exchange.go
@@ -232,6 +232,7 @@
 // the client disconnects, and then returns false. A single read detects both: the
 // goroutine that raises the signal interrupts it with a read deadline in the past.
 func (c *client) awaitSignal(wake signal) bool {
+	c.waited = true
 	c.SetReadDeadline(time.Time{})
 	if wake.consume() { // the line above may have cleared the deadline set with the signal
 		return true
