Give an endpoint that has started again new connections

Cause: connections belonged to an id and an address. When a machine vanishes without a reset, its connections stay open and silent, and they stayed in use although discovery listed a new start, until an attempt on them had timed out.

Mend: the start is a part of a connection's key, and a listed later start drains the earlier process's connections as a changed address does. What discovery hasn't told yet isn't covered.

--- a/internal/engine/endpoints.go
+++ b/internal/engine/endpoints.go
@@ -11,6 +11,12 @@
 // Active reports whether the endpoint may be sent new work.
 func (e *Endpoint) Active() bool { return e.State == policy.EndpointActive }
 
+// replaces reports whether the endpoint is another process than the previous one with its id:
+// connections to that one may be open and silent still.
+func (e *Endpoint) replaces(previous *Endpoint) bool {
+	return previous.Address != e.Address || e.StartedAt > previous.StartedAt
+}
+
 // startTime is when an endpoint started: as listed, on the system's clock, and on the
 // clock of decisions. An endpoint that is listed with the same time again has not
 // started again, whatever the clocks show by then.
@@ -31,8 +37,8 @@
 
 // UpdateEndpoints applies changes of the endpoint list (ScopeDiff) or a complete list
 // (ScopeInitial at the start, otherwise ScopeSnapshot). It returns the previous
-// entries of endpoints that are not active, are no longer listed or have a new
-// address: none of them may be sent new work at its previous address.
+// entries of endpoints that are not active, are no longer listed, have a new address
+// or have started again: none of them may be sent new work on its connections.
 func (e *Engine) UpdateEndpoints(now int64, scope policy.UpdateScope, list []Endpoint) (retired []*Endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -44,7 +50,7 @@
 		local.StartedAt = e.localStartTime(endpoint.ID, endpoint.StartedAt)
 		event.Endpoints = append(event.Endpoints, local)
 		previous := e.endpoints[endpoint.ID]
-		if previous != nil && (!endpoint.Active() || previous.Address != endpoint.Address) {
+		if previous != nil && (!endpoint.Active() || endpoint.replaces(previous)) {
 			retired = append(retired, previous)
 		}
 		e.endpoints[endpoint.ID] = &endpoint
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -33,11 +33,16 @@
 	closed         bool
 }
 
-// peerKey is an endpoint's id and address. An endpoint that changes either of them
-// gets new connections.
-type peerKey struct{ id, address string }
+// peerKey identifies a process of an endpoint. An endpoint that has another address, or
+// has started again, gets new connections.
+type peerKey struct {
+	id, address string
+	startedAt   int64 // as listed
+}
 
-func keyOf(endpoint *engine.Endpoint) peerKey { return peerKey{endpoint.ID, endpoint.Address} }
+func keyOf(endpoint *engine.Endpoint) peerKey {
+	return peerKey{endpoint.ID, endpoint.Address, endpoint.StartedAt}
+}
 
 // peer is an endpoint at an address, with its connections.
 type peer struct {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -308,7 +308,7 @@
 	bodies := bufferpool.NewPool(limit)
 	_, accepted, _ := pool.sendOnNewConn(t)
 	pool.mu.Lock()
-	conn := pool.peers[peerKey{"c", pool.Addr().String()}].conns[0]
+	conn := pool.peers[peerKey{"c", pool.Addr().String(), 0}].conns[0]
 	conn.writing = true // another goroutine writes
 	pool.mu.Unlock()
 	call := pool.call("b")
@@ -341,7 +341,7 @@
 		pool := newTestPool(t, func(limits *config.Limits) { limits.Hedging = hedging })
 		first, _, firstReader := pool.sendOnNewConn(t)
 		pool.mu.Lock()
-		conn := pool.peers[peerKey{"c", pool.Addr().String()}].conns[0]
+		conn := pool.peers[peerKey{"c", pool.Addr().String(), 0}].conns[0]
 		conn.writing = true // another goroutine writes
 		pool.mu.Unlock()
 		first.Drop(false)
@@ -369,7 +369,7 @@
 	pool := newTestPool(t, nil)
 	first, accepted, _ := pool.sendOnNewConn(t)
 	pool.mu.Lock()
-	conn := pool.peers[peerKey{"c", pool.Addr().String()}].conns[0]
+	conn := pool.peers[peerKey{"c", pool.Addr().String(), 0}].conns[0]
 	conn.writing = true // another goroutine writes
 	pool.mu.Unlock()
 	first.Drop(false)
