--- a/cmd/quilldoor/badclients_test.go
+++ b/cmd/quilldoor/badclients_test.go
@@ -249,12 +249,18 @@
 		process.Process.Kill()
 		process.Wait()
 	})
+	waitUntilHealthy(t, addr)
+	return addr
+}
+
+// waitUntilHealthy waits until a router process serves.
+func waitUntilHealthy(t *testing.T, addr string) {
+	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); checkHealth(addr) != nil; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the router isn't ready")
 		}
 	}
-	return addr
 }
 
 // Guards against requests of usual clients that are never answered, also such that were forwarded,
