Answer a request whose body is not whole in time with 408, as one whose head isn't

Cause: the end of the time for a request was answered while its head was read, but not while its body was.

Mend: 408 for whatever part is missing. An evicted connection is still closed without one.

TestClientsWithoutARequestAreClosed wanted a close without a status for half a body, which is the fault: that row asks for 408 and the close now, the others and the times stay.

--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -78,8 +78,12 @@
 	var err error
 	if head.ContentLength > 0 {
 		body, err = s.bodies.ReadBody(c.reader, head.ContentLength)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.arrivals.slot.release()
+			s.respondTimeout(c)
+		}
 		if err != nil && !errors.Is(err, bufferpool.ErrFull) {
-			return false // an incomplete body: the client disconnected or stopped sending
+			return false // an incomplete body
 		}
 		defer body.Release()
 	}
@@ -122,9 +126,7 @@
 		s.respondEmpty(c, malformed.Status, true)
 		return nil, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		if !s.isClosing(c) {
-			s.respondEmpty(c, http.StatusRequestTimeout, true)
-		}
+		s.respondTimeout(c)
 		return nil, false
 	case err != nil:
 		return nil, false
@@ -138,6 +140,13 @@
 	return head, true
 }
 
+// respondTimeout answers a request that was not whole in time, unless the connection was evicted.
+func (s *Server) respondTimeout(c *client) {
+	if !s.isClosing(c) {
+		s.respondEmpty(c, http.StatusRequestTimeout, true)
+	}
+}
+
 func (s *Server) healthStatus() int {
 	if s.ready.Load() {
 		return http.StatusOK
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -139,7 +139,7 @@
 	s := newTestServer(t, 10, 200*time.Millisecond)
 	for text, want := range map[string]string{
 		"": "", "GET /rpc/page": "408",
-		"PUT /rpc/page/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf": "",
+		"PUT /rpc/page/x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf": "408",
 	} {
 		client := s.connect(t)
 		if got := client.roundTrip(text); got != want {
@@ -335,3 +335,18 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a request whose last byte is accepted and that is never answered: its body was not
+// whole in time.
+func TestBodyThatIsNotWholeInTimeIsAnswered(t *testing.T) {
+	const requestTimeout = 200 * time.Millisecond
+	s := newTestServer(t, 2, requestTimeout)
+	for _, sent := range []string{"", "x", "xxx"} {
+		client := s.connect(t)
+		io.WriteString(client, "PUT /rpc/page/x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"+sent)
+		time.Sleep(requestTimeout + 50*time.Millisecond)
+		if got := client.roundTrip("xxxx"[len(sent):]); got != "408" {
+			t.Errorf("with %d bytes of 4 in time: status %q, want 408", len(sent), got)
+		}
+	}
+}
