Let connections whose last response is written hold no slot of a new client

Cause: a connection lingers for up to 400 ms behind its last response. It held its slot and could not be evicted, so that the accept loop waited for it.

--- a/internal/downstream/client.go
+++ b/internal/downstream/client.go
@@ -23,17 +23,18 @@
 	resumable bool      // in clientClosing: a request that is being read takes that back
 	sentAhead bool      // the current request began to arrive before the previous one was answered
 	served    bool      // the client has had a response
-	idleSince time.Time // when the last response was written; before the first, when the client connected
+	idleSince time.Time // when the last response was written or the connection began to linger; at first, when the client connected
 }
 
 // clientState is a connection's state.
 type clientState uint8
 
 const (
-	clientIdle    clientState = iota // waiting for the first byte of a request
-	clientSending                    // a request is being read
-	clientBusy                       // a request has been read and is being served
-	clientClosing                    // evicted or shut down: no request may begin, unless resumable
+	clientIdle      clientState = iota // waiting for the first byte of a request
+	clientSending                      // a request is being read
+	clientBusy                         // a request has been read and is being served
+	clientLingering                    // its last response is written, and the connection is closing
+	clientClosing                      // evicted or shut down: no request may begin, unless resumable
 )
 
 func newClient(socket net.Conn) *client {
--- a/internal/downstream/conn.go
+++ b/internal/downstream/conn.go
@@ -22,15 +22,6 @@
 	}
 }
 
-// close closes a client's connection. One that was evicted or shut down has no response to read.
-func (s *Server) close(c *client) {
-	if s.isClosing(c) {
-		c.Close()
-		return
-	}
-	c.lingeringClose(s.limits.LingeringCloseTimeout, s.limits.MaxDiscardBytes)
-}
-
 // awaitRequest waits for the first byte of a request, and reports whether to read
 // the request. For a client's first request, RequestReadTimeout covers both this
 // wait and the reading.
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -7,10 +7,11 @@
 
 // admit adds a client. At the client limit it evicts another one first. While a
 // connection that was evicted or shut down is still closing, its slot is awaited.
+// Lingering connections don't count: they have a limit of their own.
 func (s *Server) admit(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.clients) >= s.maxClients && !s.limitSuspended {
+	for len(s.clients)-s.lingering >= s.maxClients && !s.limitSuspended {
 		if s.openClients() >= s.maxClients {
 			s.evictClient()
 		}
@@ -22,7 +23,7 @@
 // openClients returns the number of clients whose connections are not closing.
 func (s *Server) openClients() (open int) {
 	for c := range s.clients {
-		if c.state != clientClosing {
+		if c.state != clientClosing && c.state != clientLingering {
 			open++
 		}
 	}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -46,6 +46,7 @@
 
 	mu               sync.Mutex
 	clients          map[*client]struct{}
+	lingering        int // the number of clients whose connections linger
 	maxClients       int
 	limitSuspended   bool      // maxClients is not enforced
 	slotFreed        sync.Cond // a client was removed or became idle, or the limit changed
@@ -183,6 +184,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.clients, c)
+	if c.state == clientLingering {
+		s.lingering--
+	}
 	s.slotFreed.Signal()
 	if len(s.clients) == 0 {
 		s.allClientsClosed.Broadcast()
--- a/internal/downstream/socket.go
+++ b/internal/downstream/socket.go
@@ -40,3 +40,15 @@
 	events := fds[0].Revents
 	return events&unix.POLLIN != 0, events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
+
+// unsentBytes returns how many bytes the client's side has not acknowledged yet; 0 if that is unknown.
+func (c *client) unsentBytes() (unsent int) {
+	descriptor := c.descriptor()
+	if descriptor == nil {
+		return 0
+	}
+	_ = descriptor.Control(func(fd uintptr) { // an error: the server has closed the connection
+		unsent, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+	})
+	return unsent
+}
