Date the purge of TestPartsThatOpenLaterKnowEarlierPurges when it is played

Its purge was dated once, and its parallel parts began more than 6 s later, behind other tests; a purge that old has reached all caches and is ignored.

--- a/cmd/quilldoor/laterparts_test.go
+++ b/cmd/quilldoor/laterparts_test.go
@@ -114,17 +114,16 @@
 func TestPartsThatOpenLaterKnowEarlierPurges(t *testing.T) {
 	t.Parallel()
 	const revision = 2 // the first event is the endpoint list
-	purgedAt := clock.System() / microsPerMilli * microsPerMilli
-	cases := map[string]func(t *testing.T, g *generation) error{
-		"cold start": func(t *testing.T, g *generation) error {
+	cases := map[string]func(t *testing.T, g *generation, purgedAt int64) error{
+		"cold start": func(t *testing.T, g *generation, purgedAt int64) error {
 			g.hearPurge(t, revision, purgedAt)
 			return g.Acquire(nil, false, false)
 		},
-		"state of another process": func(_ *testing.T, g *generation) error {
+		"state of another process": func(_ *testing.T, g *generation, purgedAt int64) error {
 			state := &handoff.State{Revision: revision, Purges: []handoff.Purge{{Object: purgedObject, At: purgedAt}}}
 			return g.Acquire(state, false, false)
 		},
-		"while another process served": func(t *testing.T, g *generation) error {
+		"while another process served": func(t *testing.T, g *generation, purgedAt int64) error {
 			if err := g.Acquire(nil, false, false); err != nil {
 				return err
 			}
@@ -132,7 +131,7 @@
 			g.hearPurge(t, revision, purgedAt)
 			return g.Acquire(state, true, false)
 		},
-		"before it was released": func(t *testing.T, g *generation) error {
+		"before it was released": func(t *testing.T, g *generation, purgedAt int64) error {
 			if err := g.Acquire(nil, false, false); err != nil {
 				return err
 			}
@@ -144,7 +143,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := newTestGeneration(t)
-			if err := open(t, g); err != nil {
+			purgedAt := clock.System() / microsPerMilli * microsPerMilli // older purges have reached all caches
+			if err := open(t, g, purgedAt); err != nil {
 				t.Fatal(err)
 			}
 			g.checkKnowsPurge(t, purgedAt)
